Stop a server that fails fast from drawing calls by being empty

Mend: in the draw a server counts as holding at least (1 - health) times what its peers hold on average, so its emptiness counts as far as it is well. The floor still brings it trials.

Ruled out: the network code. The trace shows the 500s arriving whole from one address within 2 ms on healthy connections.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -401,9 +401,9 @@
 // subset grows where it has too few warm and healthy servers, or none that the request may go to.
 func (b *Balancer) draw(now int64, q *request) *server {
 	b.weights = b.weights[:0]
-	total, room := 0.0, b.subset(now)
+	sum, held, room := 0.0, 0.0, b.subset(now)
 	for _, s := range b.ready {
-		if room <= 0 && total > 0 {
+		if room <= 0 && sum > 0 {
 			break
 		}
 		room -= s.healthFor(q.Class) * b.warmth(now, s)
@@ -414,9 +414,18 @@
 		if q.tried(s) {
 			w *= triedPart
 		}
-		total += w
+		sum += w
+		held += w * float64(s.inflight)
 		b.weights = append(b.weights, w)
 	}
+	if sum == 0 {
+		return nil
+	}
+	total := 0.0
+	for i, s := range b.ready[:len(b.weights)] {
+		b.weights[i] /= math.Pow(1+s.busy(q.Class, held/sum), heldPower)
+		total += b.weights[i]
+	}
 	return b.pick(b.rnd.Float64() * total)
 }
 
@@ -433,11 +442,16 @@
 	return last
 }
 
-// weigh is a server's weight in the draw: its size, what was learned of it, its age, its zone, and the calls
-// of this copy that it already holds.
+// busy is how many calls of this copy a server is taken to hold. One that fails at once holds none and would
+// draw all calls whenever its peers are busy, so the less healthy it is, the more it counts as busy as usual.
+func (s *server) busy(class int, usual float64) float64 {
+	return max(float64(s.inflight), (1-s.healthFor(class))*usual)
+}
+
+// weigh is a server's weight in the draw before the calls of this copy that it already holds: its size, what
+// was learned of it, its age and its zone.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
 	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
-	w /= math.Pow(float64(1+s.inflight), heldPower)
 	if b.s.SizeHints && s.Size > 0 {
 		w *= s.Size
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -561,6 +561,34 @@
 	}
 }
 
+// A server that failed at once was always empty, and drew most calls while its peers were at work.
+func TestAServerThatFailsAtOnceDoesNotDrawCallsByBeingEmpty(t *testing.T) {
+	b, h := with(t, testSettings(), 4)
+	now, ill, sent := start, 0, 0
+	for i := range 400 {
+		id := fmt.Sprint(i)
+		now += 20_000
+		ask(b, h, now, id, 0)
+		for n := 0; n < 4 && len(h.sends) > sent; n++ {
+			s := h.sends[len(h.sends)-1]
+			if sent = len(h.sends); s.server != "s0" {
+				break // its peers hold each call for a while
+			}
+			ill++
+			b.Outcome(now+1000, h, Outcome{ID: id, Attempt: n, Status: Error, Took: 1000})
+		}
+		if i >= 20 {
+			id := fmt.Sprint(i - 20)
+			if q := b.reqs[id]; q != nil {
+				b.Outcome(now+2000, h, Outcome{ID: id, Attempt: len(q.attempts) - 1, Took: 400_000, Closed: true})
+			}
+		}
+	}
+	if ill == 0 || ill > sent/10 {
+		t.Errorf("%d of %d attempts went to the failing server of four", ill, sent)
+	}
+}
+
 // An error that all servers show comes from a deeper tier: no server is blamed.
 func TestPeersShowingTheSameAreNotBlamed(t *testing.T) {
 	b, _ := with(t, testSettings(), 4)
