Stop using idle connections as old as one that was found dead

Cause: the pool trusted a kept connection for 3/4 of the settings' idle time (22 s). Settings state the idle time as "at the latest"; a ticket that meets the reset cannot be sent again.

Nothing is sent again that was not before.

Ruled out: a race with a FIN on its way (the peek saw none, the reset came in 0.1 to 0.4 ms); resets of fresh connections (5 of 253); the module (the outcome is a true reset).

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -35,6 +35,14 @@
 	// A second answer or noise may follow an answer. It came within 2 ms where it was seen; a connection that
 	// is used again sooner could take it for the next request's answer.
 	restFor = 20 * time.Millisecond
+
+	// A backend may drop idle connections long before the settings' time, and not all of them with a word: the
+	// next request on one is then reset, this soon after it was written, and may not be sent again if it is
+	// unsafe to repeat. Connections are then trusted for half the age of that one, though not for less than
+	// trustLeast, and from sweep to sweep for trustBack times as long again.
+	staleWithin = 10 * time.Millisecond
+	trustLeast  = 2 * restFor
+	trustBack   = 1.05
 )
 
 // backends holds the connections to all backends of the list. It stands in for http.Transport, which by
@@ -46,9 +54,12 @@
 	most    int           // open connections, those being opened included
 	large   chan struct{} // holds one for each large answer that is being read
 
-	mu     sync.Mutex
-	byName map[string]*backend
-	open   int
+	staleWithin time.Duration
+
+	mu      sync.Mutex
+	byName  map[string]*backend
+	open    int
+	trusted time.Duration // connections idle for longer are not used: idleFor, or less where backends close early
 }
 
 // backend is one backend as the list now has it.
@@ -68,12 +79,13 @@
 	of    *backend
 	epoch int // of the backend when it was opened
 	since time.Time
+	idled time.Duration // before its present use; 0 on the first
 }
 
 func newBackends(dialTimeout, idleClose time.Duration, most, large int) *backends {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, most: most,
-		large: make(chan struct{}, large), byName: map[string]*backend{}}
+	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, trusted: idleClose * 3 / 4, most: most,
+		staleWithin: staleWithin, large: make(chan struct{}, large), byName: map[string]*backend{}}
 }
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
@@ -142,11 +154,13 @@
 	now := time.Now()
 	for i := len(b.idle) - 1; i >= 0; i-- {
 		c := b.idle[i]
-		if now.Sub(c.since) < restFor {
+		idled := now.Sub(c.since)
+		if idled < restFor {
 			continue
 		}
 		b.idle = slices.Delete(b.idle, i, i+1)
-		if now.Sub(c.since) < p.idleFor && quiet(c.Conn) {
+		if idled < p.trusted && quiet(c.Conn) {
+			c.idled = idled
 			return c
 		}
 		p.closeLocked(c)
@@ -204,6 +218,13 @@
 	c.of.idle = append(c.of.idle, c)
 }
 
+// stale takes the news that a kept connection was found dead by the request written to it.
+func (p *backends) stale(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trusted = max(trustLeast, min(p.trusted, c.idled/2))
+}
+
 // drop closes a connection.
 func (p *backends) drop(c *conn) {
 	p.mu.Lock()
@@ -220,10 +241,11 @@
 func (p *backends) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.trusted = min(p.idleFor, time.Duration(trustBack*float64(p.trusted)))
 	for _, b := range p.byName {
 		kept := b.idle[:0]
 		for _, c := range b.idle {
-			if now.Sub(c.since) < p.idleFor && quiet(c.Conn) {
+			if now.Sub(c.since) < p.trusted && quiet(c.Conn) {
 				kept = append(kept, c)
 			} else {
 				p.closeLocked(c)
@@ -328,6 +350,7 @@
 	if err != nil {
 		return result{status: logic.Moot}, true
 	}
+	written := time.Now()
 	if _, err := c.Write(head); err != nil {
 		// The last byte was not written, so the backend cannot have begun.
 		return result{status: logic.ConnectFailed}, false
@@ -341,9 +364,14 @@
 	case a.ctx.Err() != nil:
 		return result{status: logic.Cancelled}, false
 	}
+	if c.idled > 0 && errors.Is(err, errNoAnswer) && time.Since(written) < a.pool.staleWithin {
+		a.pool.stale(c)
+	}
 	return result{status: logic.Reset}, false
 }
 
+var errNoAnswer = errors.New("no answer")
+
 // encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
 func (a *attempt) encode() ([]byte, error) {
 	r := a.req
@@ -385,7 +413,7 @@
 // read takes the whole answer: one that breaks off has not been given.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
 	if _, err := c.r.Peek(1); err != nil {
-		return res, false, fmt.Errorf("read answer: %w", err)
+		return res, false, fmt.Errorf("%w: %w", errNoAnswer, err)
 	}
 	if until := time.Now().Add(answerStall); until.Before(a.deadline) {
 		_ = c.SetDeadline(until)
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -350,6 +350,60 @@
 	}
 }
 
+// aged lets the idle connections have been idle for so long.
+func aged(p *backends, by time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.byName {
+		for _, c := range b.idle {
+			c.since = time.Now().Add(-by)
+		}
+	}
+}
+
+// Backends dropped idle connections without a word long before the settings' time. Each request written to one
+// was reset, and those that are unsafe to repeat failed.
+func TestAfterAStaleConnectionOlderOnesAreNotUsed(t *testing.T) {
+	var drop atomic.Bool
+	b := startBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+		if drop.Swap(false) {
+			return false
+		}
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	p := poolWith(4, b.addr)
+	p.staleWithin = patience
+	send := func(want logic.Status, conns int32) {
+		t.Helper()
+		if res := newAttempt(p, "a", patience).run(); res.status != want || b.conns.Load() != conns {
+			t.Fatalf("got %v on connection %d, want %v on %d", res.status, b.conns.Load(), want, conns)
+		}
+	}
+	send(logic.OK, 1)
+	aged(p, 2*time.Second)
+	send(logic.OK, 1) // nothing speaks against it yet
+	aged(p, 2*time.Second)
+	drop.Store(true)
+	send(logic.Reset, 1)
+	send(logic.OK, 2)
+	aged(p, 1500*time.Millisecond)
+	send(logic.OK, 3) // the old one is not tried
+	aged(p, 500*time.Millisecond)
+	send(logic.OK, 3)
+	for range 100 { // with no further evidence trust comes back
+		p.sweep(time.Now())
+	}
+	aged(p, 2*time.Second)
+	send(logic.OK, 3)
+	p.turn(p.byName["a"]) // closes what is idle
+	drop.Store(true)
+	send(logic.Reset, 4) // a new connection's reset says nothing of idle ones
+	send(logic.OK, 5)
+	aged(p, 2*time.Second)
+	send(logic.OK, 5)
+}
+
 func TestTheMostRecentConnectionIsUsedFirstAndOldOnesAreClosed(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	p := poolWith(4, b.addr)
