Let a class yield only to calls that near their aim

Cause: a ticket count is cut when 30% of a round of the worthier meter calls is slow, and slow began at 1.6 times the time in quiet.

Mend: a class yields only to calls that took, or have been out for, 0.6 of their aim. The early bar goes on pressing the shares, as it was meant to.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -600,11 +600,14 @@
 }
 
 // press takes one piece of evidence on whether the shares and home are under pressure. A class also yields
-// to one that is worth clearly more: that one's slow calls cut its count.
+// to one that is worth clearly more: that one's calls cut its count when they near their aim. Calls that are
+// only slower than in quiet press the shares alone: by chance a third of them may be, and all be in time.
 func (b *Balancer) press(now int64, class int, a *attempt, slow, homeBad bool) {
+	near := float64(now-a.sent) > slowBar*float64(b.s.Classes[class].Aim)
 	for i := range b.classes {
-		if c := &b.classes[i]; b.value(class) > yieldRatio*b.value(i) {
-			c.rule.learn(&c.yield, now, a.sent, slow)
+		// A call that is still out may yet near its aim or not.
+		if c := &b.classes[i]; b.value(class) > yieldRatio*b.value(i) && (near || !a.out) {
+			c.rule.learn(&c.yield, now, a.sent, slow && near)
 		}
 	}
 	if f := b.shareEv.add(now, a.sent, slow); f == 1 && b.share < 1 {
