Stop taking a full server for an ill one

Cause: a 'full' answer cut a server's health like a time-out does. The design has weights fall on errors and time-outs, and counts cut by 'full'.

Mend: 'full' leaves a server's health alone; it still counts against the tier and the class.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -646,14 +646,15 @@
 // judge updates a server's health and tells whether a failure is its own. One that its peers show as well is
 // a deeper tier's and held against the counts; a refused connection never is, lest a lost zone be one. An
 // error that was answered concerns its class only, lest servers that fail one class be lost to all; silence
-// concerns the whole server.
+// concerns the whole server. A full server is not ill: the counts answer to that, and the calls that it would
+// have had are not to crowd its peers.
 func (b *Balancer) judge(s *server, class int, status Status) (blame bool) {
 	c, x := &b.classes[class], partOf(status != OK)
 	b.errs += (x - b.errs) * meanGain
 	c.errs += (x - c.errs) * meanGain
 	if status == ConnectFailed {
 		blame = s.whole.judge(x, 0)
-	} else if status != Error {
+	} else if status != Error && status != FullUp {
 		blame = s.whole.judge(x, blameRatio*b.errs)
 	}
 	if status == Error || status == OK {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -589,6 +589,33 @@
 	}
 }
 
+// Two full servers of four were left empty for seconds, and the other two were crowded until they slowed down.
+func TestAFullServerKeepsItsPartOfTheCalls(t *testing.T) {
+	b, h := with(t, testSettings(), 4)
+	now, there := start, 0
+	for i := range 400 {
+		id := fmt.Sprint(i)
+		now += 20_000
+		ask(b, h, now, id, 0)
+		if b.reqs[id] == nil {
+			continue
+		}
+		status := OK
+		if s := h.sends[len(h.sends)-1]; s.server == "s0" {
+			if there++; there%2 == 0 {
+				status = FullUp
+			}
+		}
+		for n := 0; b.reqs[id] != nil && n < 4; n++ {
+			b.Outcome(now+10_000, h, Outcome{ID: id, Attempt: n, Status: status, Took: 10_000, Closed: status == OK})
+			status = OK
+		}
+	}
+	if there < 70 {
+		t.Errorf("%d of 400 requests went first to the server that is full every other time", there)
+	}
+}
+
 // An error that all servers show comes from a deeper tier: no server is blamed.
 func TestPeersShowingTheSameAreNotBlamed(t *testing.T) {
 	b, _ := with(t, testSettings(), 4)
