Add the operators' console: detach, attach, lame duck and take-over by a new version

Console: own listener and http.Server, one call a connection, 12 connections of which those that say nothing or half a call make room; a yes only once the loop has done it. Way not chosen: the calls on the clients' port, where load and limits of clients would delay them, and anybody could call. Detach is an event of the module beside the list's states (relist in logic.go); attach brings the server back as one that starts now. Lame duck is one reversible state of the front end: health no, 0.4 s later answers close and idle connections end; SIGTERM's drain shares closeIdle. Not chosen: closing the listener, which resets what nobody has accepted and has to come back within 2 s. Upgrade: SO_REUSEPORT; what operators said is a file in $TMPDIR, replaced by rename before the yes; locks on bytes of a second file tell who lives and who takes connections, and go with a process however it ends. The newest listener steers all new connections to itself (SO_ATTACH_REUSEPORT_CBPF; Multipath TCP, which net turns on, refuses that), so the old one's queue is empty before it closes. While two live each has half of descriptors and memory.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -19,10 +18,7 @@
 	"fernlanding/internal/settings"
 )
 
-const (
-	memoryPart     = 0.6 // of the limit: the runtime collects harder from there on
-	defaultSockets = 1024
-)
+const defaultSockets = 1024
 
 func main() {
 	if err := run(); err != nil {
@@ -43,9 +39,6 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	cfg.Log = log
-	if lim.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(lim.MemoryMB * memoryPart * (1 << 20)))
-	}
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
 	}
@@ -86,7 +79,7 @@
 	Sockets  int     `json:"sockets"`
 }
 
-// load reads the file that LB_CONFIG names; LB_LISTEN and LB_DISCOVERY stand in for what it lacks.
+// load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN, LB_CONSOLE and LB_DISCOVERY stand in for what it lacks.
 func load(env func(string) string) (proxy.Config, limits, error) {
 	var cfg proxy.Config
 	path := env("LB_CONFIG")
@@ -98,7 +91,9 @@
 		return cfg, limits{}, err
 	}
 	var file struct {
+		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Console   string          `json:"console"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    limits          `json:"limits"`
@@ -109,7 +104,13 @@
 		return cfg, file.Limits, fmt.Errorf("%s: %w", path, err)
 	}
 	cfg.Listen, cfg.Discovery, cfg.Sockets = file.Listen, file.Discovery, file.Limits.Sockets
-	cfg.MemoryMB = file.Limits.MemoryMB
+	cfg.MemoryMB, cfg.Name, cfg.Console, cfg.TempDir = file.Limits.MemoryMB, file.Name, file.Console, env("TMPDIR")
+	if cfg.Name == "" {
+		cfg.Name = env("LB_NAME")
+	}
+	if cfg.Console == "" {
+		cfg.Console = env("LB_CONSOLE")
+	}
 	if cfg.Listen == "" {
 		cfg.Listen = env("LB_LISTEN")
 	}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -58,6 +58,7 @@
 
 	mu      sync.Mutex
 	byName  map[string]*backend
+	out     map[string]bool // those that operators have taken out, listed or not
 	open    int
 	trusted time.Duration // connections idle for longer are not used: idleFor, or less where backends close early
 }
@@ -67,8 +68,9 @@
 	name    string
 	addr    string
 	started int64
-	ready   bool
-	epoch   int     // goes up when what the list says of it changes: drained, gone, restarted or moved
+	serving bool    // as the list says
+	ready   bool    // that, and operators have not taken it out
+	epoch   int     // goes up when what is said of it changes: drained, gone, restarted, moved or taken out
 	idle    []*conn // the most recently used last
 }
 
@@ -85,7 +87,7 @@
 func newBackends(dialTimeout, idleClose time.Duration, most, large int) *backends {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, trusted: idleClose * 3 / 4, most: most,
-		staleWithin: staleWithin, large: make(chan struct{}, large), byName: map[string]*backend{}}
+		staleWithin: staleWithin, large: make(chan struct{}, large), byName: map[string]*backend{}, out: map[string]bool{}}
 }
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
@@ -101,8 +103,8 @@
 			b = &backend{name: e.Name}
 			p.byName[e.Name] = b
 		}
-		if ready := e.Status == statusServing; b.addr != e.Address || b.started != e.SinceMs || b.ready != ready {
-			b.addr, b.started, b.ready = e.Address, e.SinceMs, ready
+		if serving := e.Status == statusServing; b.addr != e.Address || b.started != e.SinceMs || b.serving != serving {
+			b.addr, b.started, b.serving, b.ready = e.Address, e.SinceMs, serving, serving && !p.out[e.Name]
 			p.turn(b)
 		}
 		if e.Status == statusDeleted {
@@ -127,6 +129,38 @@
 	b.idle = nil
 }
 
+// takeOut takes the operators' word that a backend gets nothing more, or may serve again. Its process may not be
+// the same then, so no connection outlives either.
+func (p *backends) takeOut(name string, out bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if out {
+		p.out[name] = true
+	} else {
+		delete(p.out, name)
+	}
+	if b := p.byName[name]; b != nil {
+		b.ready = b.serving && !out
+		p.turn(b)
+	}
+}
+
+// known tells whether the list names a backend.
+func (p *backends) known(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name] != nil
+}
+
+// limit takes another number of connections at most; idle ones over it are closed.
+func (p *backends) limit(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for p.open > p.most && p.closeOldest() {
+	}
+}
+
 // find returns a listed backend that takes new requests, with its address and epoch.
 func (p *backends) find(name string) (b *backend, addr string, epoch int, ok bool) {
 	p.mu.Lock()
@@ -189,23 +223,31 @@
 func (p *backends) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open >= p.most {
-		var oldest *backend
-		for _, b := range p.byName {
-			if len(b.idle) > 0 && (oldest == nil || b.idle[0].since.Before(oldest.idle[0].since)) {
-				oldest = b
-			}
-		}
-		if oldest == nil {
+	for p.open >= p.most {
+		if !p.closeOldest() {
 			return false
 		}
-		p.closeLocked(oldest.idle[0])
-		oldest.idle = oldest.idle[1:]
 	}
 	p.open++
 	return true
 }
 
+// closeOldest closes the connection that has been idle longest, if there is one.
+func (p *backends) closeOldest() bool {
+	var oldest *backend
+	for _, b := range p.byName {
+		if len(b.idle) > 0 && (oldest == nil || b.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = b
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.closeLocked(oldest.idle[0])
+	oldest.idle = oldest.idle[1:]
+	return true
+}
+
 // keep puts a connection back for reuse, unless its backend has changed since it was opened.
 func (p *backends) keep(c *conn) {
 	p.mu.Lock()
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -13,8 +13,7 @@
 const (
 	// A connection that has said nothing for this long is no client about to ask.
 	silentGrace = 250 * time.Millisecond
-	// Bytes that came this lately may be a request that net/http has not yet reported.
-	justHeard = 100 * time.Millisecond
+	justHeard   = 100 * time.Millisecond // see clients.just
 )
 
 // clients accepts the connections of clients and knows which of them carry a request. It goes on accepting
@@ -22,7 +21,8 @@
 // The longest silent or idle one makes room; where all carry requests, the new one is closed at once.
 type clients struct {
 	net.Listener
-	most int // open connections
+	most int           // open connections
+	just time.Duration // bytes that came this lately may be a request that is not yet known of
 
 	mu     sync.Mutex
 	conns  map[net.Conn]*clientConn
@@ -43,7 +43,7 @@
 }
 
 func newClients(l net.Listener, most int) *clients {
-	return &clients{Listener: l, most: most, conns: map[net.Conn]*clientConn{}, silent: list.New(), idle: list.New()}
+	return &clients{Listener: l, most: most, just: justHeard, conns: map[net.Conn]*clientConn{}, silent: list.New(), idle: list.New()}
 }
 
 // Accept returns the next connection for which there is room.
@@ -63,8 +63,10 @@
 func (l *clients) admit(nc net.Conn) *clientConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.most && !l.evict() {
-		return nil
+	for len(l.conns) >= l.most {
+		if !l.evict() {
+			return nil
+		}
 	}
 	c := &clientConn{Conn: nc, of: l, came: time.Now()}
 	l.conns[c] = c
@@ -72,6 +74,13 @@
 	return c
 }
 
+// limit takes another number of connections at most, for those to come.
+func (l *clients) limit(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+}
+
 // evict closes one connection that carries no request: the longest silent one unless that is too young to be
 // told from a client about to ask, then the longest idle one, then the longest silent one after all.
 func (l *clients) evict() bool {
@@ -88,7 +97,7 @@
 	for e := from.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		heard := time.Unix(0, c.heard.Load())
-		if !(heard.After(c.since) && now.Sub(heard) < justHeard) && quiet(c) {
+		if !(heard.After(c.since) && now.Sub(heard) < l.just) && quiet(c) {
 			l.remove(c)
 			c.Conn.Close()
 			return true
@@ -147,13 +156,15 @@
 	return len(l.conns) - l.silent.Len(), l.idle.Len()
 }
 
-// closeIdle closes the connections that carry no request, and returns how many others there are. One that is
-// newer than newFor, or on which something has just come in, is left alone: closing it would lose a request.
-func (l *clients) closeIdle(newFor time.Duration) (busy int) {
+// closeIdle closes the connections that have carried no request for idleFor, and returns how many others there are.
+// One that is newer than newFor, or on which something has just come in, is left alone: closing it would lose a
+// request.
+func (l *clients) closeIdle(idleFor, newFor time.Duration) (busy int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
-		if (c.list == l.idle || c.list == l.silent && time.Since(c.since) > newFor) && quiet(c) {
+		rested := time.Since(c.since)
+		if (c.list == l.idle && rested >= idleFor || c.list == l.silent && rested > newFor) && quiet(c) {
 			l.remove(c)
 			c.Conn.Close()
 		} else {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,14 @@
 	faultLinger   = 500 * time.Millisecond // for what a bad client still sends, so that it can read its error
 	writeLeeway   = 5 * time.Second        // beyond the longest deadline, for the answer to be taken
 
+	// After the first call on lame duck health checks are asked within 0.1 s, and connections come for 0.2 s more.
+	duckAfter = 400 * time.Millisecond
+
+	// While a new version takes over, idle connections are closed when they have stood for so long, and all of them
+	// from so long after SIGTERM on. Requests that cross a close are dear.
+	handOverIdle = 500 * time.Millisecond
+	handOverLast = 1500 * time.Millisecond
+
 	// The answer to a request is to leave this long before its client gives up, so that a busy core does
 	// not make it late, but a request with little time keeps most of it.
 	answerMargin = 30 * time.Millisecond
@@ -47,11 +56,18 @@
 	draining atomic.Bool // SIGTERM has come: health checks are told
 	bound    atomic.Bool // clients may get no new connections here
 	closing  atomic.Bool // each connection ends with its answer
+	duck     atomic.Bool // operators want no clients here: health checks are told
+
+	succeeded atomic.Bool // another process of this proxy takes connections
+
+	mu       sync.Mutex     // held while lame duck begins or ends, and once SIGTERM has come
+	stopDuck func()         // ends what empties the proxy; nil when nothing does
+	emptying sync.WaitGroup // it
 }
 
-func newFrontend(site *settings.Site, l *loop, listener net.Listener, most int, log *slog.Logger) *frontend {
+func newFrontend(site *settings.Site, l *loop, most int, log *slog.Logger) *frontend {
 	f := &frontend{site: site, loop: l, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		clients: newClients(listener, most)}
+		clients: newClients(nil, most)}
 	longest := int64(0)
 	for _, c := range site.Logic.Classes {
 		longest = max(longest, c.Deadline)
@@ -120,16 +136,23 @@
 }
 
 func (f *frontend) health(w http.ResponseWriter) {
+	if f.healthy() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// healthy tells whether clients are to come. Where another process has taken over from one that ends, either may be
+// asked, and the proxy goes on.
+func (f *frontend) healthy() bool {
 	select {
 	case <-f.loop.listed:
-		if !f.draining.Load() {
-			w.WriteHeader(http.StatusOK)
-			return
-		}
+		return !f.duck.Load() && (!f.draining.Load() || f.succeeded.Load())
 	default:
+		return false
 	}
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func (f *frontend) reply(w http.ResponseWriter, ans answer) {
@@ -267,9 +290,78 @@
 	}
 	f.closing.Store(true)
 	f.clients.Close()
-	for f.clients.closeIdle(acceptAfter) > 0 && time.Now().Before(cutoff) {
+	for f.clients.closeIdle(0, acceptAfter) > 0 && time.Now().Before(cutoff) {
 		time.Sleep(drainStep)
 	}
+	f.shutdown(cutoff)
+}
+
+// handOver ends the service when another process has taken over. New connections go there; what stands in the queue
+// here is still taken, since closing the listener would reset it. Answers close their connections from now on, and
+// those that stand idle are left open while a request may well be on its way to them.
+func (f *frontend) handOver(cutoff time.Time) {
+	told := time.Now()
+	f.closing.Store(true)
+	idleFor := handOverIdle
+	for busy := 1; (busy > 0 || time.Since(told) < acceptAfter) && time.Now().Before(cutoff); time.Sleep(drainStep) {
+		if time.Since(told) >= acceptAfter {
+			f.clients.Close()
+		}
+		if time.Since(told) >= handOverLast {
+			idleFor = 0
+		}
+		busy = f.clients.closeIdle(idleFor, acceptAfter)
+	}
+	f.shutdown(cutoff)
+}
+
+// lameDuck empties the proxy of clients or takes it back to work. Nothing else changes, and nothing restarts.
+func (f *frontend) lameDuck(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if on == f.duck.Load() {
+		return
+	}
+	f.duck.Store(on)
+	if !on {
+		f.stopDuck()
+		f.emptying.Wait()
+		if !f.draining.Load() {
+			f.closing.Store(false)
+		}
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.stopDuck = stop
+	f.emptying.Go(func() { f.empty(ctx) })
+}
+
+// empty closes connections with their answers, and those that fall idle, until the context ends. It begins when
+// clients get no new ones here.
+func (f *frontend) empty(ctx context.Context) {
+	for wait := duckAfter; ; wait = drainStep {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		f.closing.Store(true)
+		f.clients.closeIdle(0, acceptAfter)
+	}
+}
+
+// terminate begins the end of the service after SIGTERM; with lame duck it has begun already.
+func (f *frontend) terminate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining.Store(true)
+	if f.duck.Load() {
+		f.stopDuck()
+		f.emptying.Wait()
+	}
+}
+
+func (f *frontend) shutdown(cutoff time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
 	defer cancel()
 	_ = f.server.Shutdown(ctx)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -94,7 +94,9 @@
 	lists  chan listNews
 	asked  chan struct{} // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
+	told   chan struct{} // closed when discovery has said something
 
+	out      map[string]bool     // the backends that operators have taken out
 	reqs     map[string]*request // until answered and no attempt is out
 	timers   timerHeap
 	unsent   []*attempt // Sends that cannot be carried out; their outcomes follow the present event
@@ -106,7 +108,7 @@
 
 func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, log *slog.Logger) *loop {
 	return &loop{bal: bal, clock: c, pool: pool, zones: z, log: log, events: make(chan func(), 256),
-		lists: make(chan listNews), asked: make(chan struct{}, 1), listed: make(chan struct{}),
+		lists: make(chan listNews), asked: make(chan struct{}, 1), listed: make(chan struct{}), told: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
 
@@ -191,6 +193,29 @@
 	}
 	l.apply(kind, n.list)
 	l.settle()
+	select {
+	case <-l.told:
+	default:
+		close(l.told)
+	}
+}
+
+// detached carries out which backends operators have taken out, in the connections first and then in the module.
+func (l *loop) detached(st state) {
+	out := make(map[string]bool, len(st.Detached))
+	for _, id := range st.Detached {
+		if out[id] = true; !l.out[id] {
+			l.pool.takeOut(id, true)
+			l.bal.Detach(id)
+		}
+	}
+	for id := range l.out {
+		if !out[id] {
+			l.pool.takeOut(id, false)
+			l.bal.Attach(l.clock.now(), id)
+		}
+	}
+	l.out = out
 }
 
 func (l *loop) apply(kind logic.ListKind, list *List) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -21,6 +22,10 @@
 	largeMB     = 16 // of memory for each of them
 	requestPart = 3  // clients hold this part of the descriptors at most for requests
 
+	firstListWait = 1500 * time.Millisecond // a process that takes over knows a list already, and asks for the present one
+
+	memoryPart = 0.6 // of the limit: the runtime collects harder from there on
+
 	boundAfter  = 200 * time.Millisecond // new connections surely come for this long after SIGTERM
 	acceptAfter = 550 * time.Millisecond // and may still come for this long
 	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
@@ -31,8 +36,11 @@
 
 // Config is what a proxy is told at its start.
 type Config struct {
+	Name      string
 	Listen    string
+	Console   string // where operators call; none if empty
 	Discovery string
+	TempDir   string // what all processes of this proxy share; nothing is if empty
 	Seed      uint64
 	Sockets   int     // descriptors that the process may hold
 	MemoryMB  float64 // that it may hold; 0 if it is not told
@@ -43,51 +51,147 @@
 
 // Proxy is one proxy with its listener open.
 type Proxy struct {
-	cfg    Config
-	loop   *loop
-	front  *frontend
-	renews chan string // addresses of discovery that new configurations name
+	cfg      Config
+	loop     *loop
+	front    *frontend
+	console  *console // nil if none is wanted
+	shared   *shared
+	followed int64         // the version of the state that is carried out; changed under the state's lock
+	opened   chan struct{} // closed when all listeners are open
+	renews   chan string   // addresses of discovery that new configurations name
 }
 
-// New opens the listener; clients are served from Run on.
+// New opens the listeners, unless another process of this proxy is at work: then Run does when it can serve. Clients
+// are served from Run on.
 func New(cfg Config) (*Proxy, error) {
 	bal, err := logic.New(cfg.Site.Logic, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	// Each open request has at most one attempt out, and a third more connections to backends may be kept for
-	// the next. What is left is the clients': their open requests, and those that are silent or idle.
-	forBackends := cfg.Sockets / requestPart * 4 / 3
-	forClients := cfg.Sockets - ownSockets - forBackends
+	forClients, forBackends := divide(cfg.Sockets)
 	if forClients < leastEach {
 		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
 	}
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	dir := cfg.TempDir
+	if cfg.Console == "" { // no operator can say anything
+		dir = ""
+	}
+	sh, err := openShared(dir, cfg.Name, cfg.Log)
+	if err != nil { // to serve is worth more than to remember
+		cfg.Log.Error("what operators say is not kept", "error", err)
+		sh = &shared{log: cfg.Log}
 	}
 	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends,
 		max(leastLarge, int(cfg.MemoryMB)/largeMB)),
 		newZones(cfg.Site.Zones), cfg.Log)
+	p := &Proxy{cfg: cfg, loop: l, shared: sh, renews: make(chan string), opened: make(chan struct{}),
+		front: newFrontend(cfg.Site, l, forClients, cfg.Log)}
+	if cfg.Console != "" {
+		p.console = newConsole(p, cfg.Log)
+	}
+	l.detached(sh.now)
 	if cfg.Known != nil {
 		l.apply(logic.Cached, cfg.Known)
 	}
-	return &Proxy{cfg: cfg, loop: l, renews: make(chan string), front: newFrontend(cfg.Site, l, listener, forClients, cfg.Log)}, nil
+	for id, at := range sh.now.Back { // put back by hand a short while ago
+		bal.Detach(id)
+		bal.Attach(at, id)
+	}
+	p.followed = sh.now.Version
+	alone := sh.alone()
+	p.limit(alone)
+	if alone {
+		if err := p.open(); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// divide gives clients and backends their parts of the descriptors. Each open request has at most one attempt out,
+// and a third more connections to backends may be kept for the next. What is left is the clients': their open
+// requests, and those that are silent or idle.
+func divide(sockets int) (forClients, forBackends int) {
+	forBackends = sockets / requestPart * 4 / 3
+	return sockets - ownSockets - forBackends, forBackends
+}
+
+// limit shares descriptors and memory with another process of this proxy while one lives: both count together.
+func (p *Proxy) limit(alone bool) {
+	sockets, memory := p.cfg.Sockets, p.cfg.MemoryMB
+	if !alone {
+		sockets, memory = sockets/2, memory/2
+	}
+	forClients, forBackends := divide(sockets)
+	p.front.clients.limit(max(forClients, leastEach))
+	p.loop.pool.limit(forBackends)
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memory * memoryPart * (1 << 20)))
+	}
+}
+
+// open opens the listeners. Any process of this proxy may listen at the clients' address; the newest gets the
+// connections.
+func (p *Proxy) open() error {
+	before := p.shared.others(openByte)
+	listener, err := listenShared(p.cfg.Listen, before, p.cfg.Log)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	p.front.clients.Listener = listener
+	if p.console != nil {
+		if p.console.conns.Listener, err = net.Listen("tcp", p.cfg.Console); err != nil {
+			listener.Close()
+			return fmt.Errorf("listen for operators: %w", err)
+		}
+	}
+	if err := p.shared.open(); err != nil {
+		return fmt.Errorf("shared state: %w", err)
+	}
+	close(p.opened)
+	return nil
 }
 
 // Addr is where clients connect.
 func (p *Proxy) Addr() string { return p.front.clients.Addr().String() }
 
+// ConsoleAddr is where operators call.
+func (p *Proxy) ConsoleAddr() string { return p.console.conns.Addr().String() }
+
 // Run serves until the context ends, then finishes what it has taken.
 func (p *Proxy) Run(ctx context.Context) error {
+	defer p.shared.close()
 	inner, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
+	defer p.front.lameDuck(false)
 	defer parts.Wait()
 	defer stop()
+	p.front.lameDuck(p.shared.now.LameDuck)
 	parts.Go(func() { p.loop.run(inner) })
 	parts.Go(func() { p.watch(inner) })
+	if p.shared.lock != nil {
+		parts.Go(func() { p.agree(inner) })
+	}
+	if !p.takeOver(ctx) {
+		return nil
+	}
+	select {
+	case <-p.opened:
+	default:
+		if err := p.open(); err != nil {
+			return err
+		}
+	}
 	served := make(chan error, 1)
 	parts.Go(func() { served <- p.front.serve() })
+	if p.console != nil {
+		defer p.console.close()
+		parts.Go(func() {
+			if err := p.console.serve(); err != nil {
+				p.cfg.Log.Error("no calls are taken any more", "error", err)
+			}
+		})
+	}
 	select {
 	case err := <-served:
 		return err
@@ -99,12 +203,40 @@
 	}
 	told, window := time.Now(), min(longest, killAfter)+killLeeway
 	cutoff := told.Add(window)
-	p.front.draining.Store(true)
+	p.front.succeeded.Store(p.shared.succeeded())
+	p.front.terminate()
+	p.shared.shut()
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
+	if p.front.succeeded.Load() {
+		p.front.handOver(cutoff)
+		return nil
+	}
 	p.front.drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
 	return nil
 }
 
+// takeOver waits until a process that starts beside another can serve as well as that one: with a list, and if
+// discovery is up with the present one. It returns false if the context ends first.
+func (p *Proxy) takeOver(ctx context.Context) bool {
+	select {
+	case <-p.opened:
+		return true
+	default:
+	}
+	select {
+	case <-p.loop.listed:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-p.loop.told:
+	case <-time.After(firstListWait):
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // Renew takes the address of discovery that a new configuration names. It may be called while Run does its work.
 func (p *Proxy) Renew(discovery string) {
 	select {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -82,6 +82,11 @@
 			t.Fatal(err)
 		}
 	}
+	return start(t, cfg)
+}
+
+func start(t *testing.T, cfg Config) *running {
+	t.Helper()
 	p, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
@@ -115,9 +120,11 @@
 	}
 	t.Cleanup(func() { c.Close() })
 	_ = c.SetDeadline(time.Now().Add(patience))
-	return &client{c, bufio.NewReader(c)}
+	return newClient(c)
 }
 
+func newClient(c net.Conn) *client { return &client{c, bufio.NewReader(c)} }
+
 func (c *client) send(t *testing.T, text string) {
 	t.Helper()
 	if _, err := io.WriteString(c, text); err != nil {
--- /dev/null
+++ b/logic/detach_test.go
@@ -0,0 +1,80 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+// drawn sends n requests, each answered at once, and counts what each server got.
+func drawn(b *Balancer, now int64, n int) map[string]int {
+	h, got := &recorder{}, map[string]int{}
+	for i := range n {
+		id := fmt.Sprint(now, "-", i)
+		ask(b, h, now, id, 0)
+		if len(h.sends) == i+1 {
+			got[h.sends[i].server]++
+			b.Outcome(now+1000, h, Outcome{ID: id, Status: OK, Took: 1000, Closed: true})
+		}
+	}
+	return got
+}
+
+// Operators detach a server: whatever lists say of it meanwhile, it gets nothing until they attach it.
+func TestADetachedServerGetsNothingWhateverTheListSays(t *testing.T) {
+	b, h := with(t, testSettings(), 4)
+	if got := drawn(b, start, 400); got["s1"] == 0 {
+		t.Fatalf("not in use to begin with: %v", got)
+	}
+	b.Detach("s1")
+	b.Detach("s1")
+	moved := fleet(4)[1]
+	moved.Launched = start
+	for name, news := range map[string]func(){
+		"nothing":       func() {},
+		"a change":      func() { b.List(start, h, Delta, []Server{moved}) },
+		"a snapshot":    func() { b.List(start, h, Full, fleet(4)) },
+		"gone and back": func() { b.List(start, h, Full, fleet(1)); b.List(start, h, Full, fleet(4)) },
+	} {
+		if news(); drawn(b, start, 400)["s1"] != 0 {
+			t.Errorf("after %s it got something", name)
+		}
+	}
+	b.Attach(start, "s1")
+	if got := drawn(b, start, 4000); got["s1"] == 0 {
+		t.Errorf("after one call back it got nothing: %v", got)
+	}
+}
+
+// One that is detached before any list names it is out from its first listing on.
+func TestADetachedServerNeedNotBeListed(t *testing.T) {
+	b, h := mustNew(t, testSettings()), &recorder{}
+	b.Detach("s1")
+	b.List(start, h, Full, fleet(2))
+	if got := drawn(b, start, 100); got["s1"] != 0 || got["s0"] != 100 {
+		t.Errorf("got %v", got)
+	}
+	b.Attach(start, "s1")
+	b.Attach(start, "nobody")
+}
+
+// The backend was restarted meanwhile, and the list may not yet say so: it is cold, and warm in the usual time.
+func TestAnAttachedServerIsCold(t *testing.T) {
+	b, _ := with(t, testSettings(), 4)
+	s := b.byID["s1"]
+	b.Detach("s1")
+	s.whole.left = healthFloor // what was learned of the process before
+	b.Attach(start, "s1")
+	if w := b.warmth(start, s); w != coldMargin*b.s.StartCapacity {
+		t.Errorf("its warmth is %v", w)
+	}
+	if s.whole.left != 1 {
+		t.Errorf("its health is %v", s.whole.left)
+	}
+	if w := b.warmth(start+b.s.Cold, s); w != 1 {
+		t.Errorf("later its warmth is %v", w)
+	}
+	b.Attach(start+b.s.Cold, "s1") // harmless: it was in use all along
+	if w := b.warmth(start+b.s.Cold, s); w != 1 {
+		t.Errorf("after a repeated call its warmth is %v", w)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -159,7 +159,8 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
-		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
+		detached: map[string]bool{},
+		reqs:     map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
 		tenants: make([]originRule, len(s.Tenants)), classes: make([]classState, len(s.Classes))}
 	if s.BudgetSpan == 0 {
 		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
@@ -239,13 +240,31 @@
 	})
 	b.ready = b.ready[:0]
 	for _, s := range b.all {
-		if s.State == Ready {
+		if s.State == Ready && !b.detached[s.ID] {
 			b.ready = append(b.ready, s)
 		}
 	}
 	b.rotate()
 }
 
+// Detach takes the operators' word that a server is to get nothing more. It stands beside what the list says,
+// so that no list lifts it, nor has to name the server at all.
+func (b *Balancer) Detach(id string) {
+	b.detached[id] = true
+	b.relist()
+}
+
+// Attach takes their word that a detached server may serve again. It may have restarted out of sight, so it
+// comes back as one that starts now.
+func (b *Balancer) Attach(now int64, id string) {
+	if s := b.byID[id]; s != nil && b.detached[id] {
+		s.forget(len(b.classes))
+		s.back = now
+	}
+	delete(b.detached, id)
+	b.relist()
+}
+
 // rotate orders the ready servers so that this copy's subset comes first: they stand on a ring in the order
 // of their hashes, and copies start at places spread over it. With many copies each server would otherwise
 // hold a connection of every one, which costs it capacity and turns new ones away, and each copy would see
@@ -464,8 +483,9 @@
 // warmth guards against pushing a cold server over (rule 4): its weight is under the least capacity that
 // a server of its age has.
 func (b *Balancer) warmth(now int64, s *server) float64 {
-	age := now - s.Launched
-	if s.Launched == 0 || age >= b.s.Cold {
+	start := max(s.Launched, s.back)
+	age := now - start
+	if start == 0 || age >= b.s.Cold {
 		return 1
 	}
 	part := float64(max(age, 0)) / float64(b.s.Cold)
--- a/logic/state.go
+++ b/logic/state.go
@@ -107,6 +107,7 @@
 	classes  []health // for the calls of each class
 	inflight int
 	hash     uint64
+	back     int64 // when operators put it back to work; 0: never
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
@@ -218,8 +219,9 @@
 	s         Settings
 	rnd       *rand.Rand
 	byID      map[string]*server
-	all       []*server // in order of first listing
-	ready     []*server // those that new calls may go to, this copy's subset first
+	all       []*server       // in order of first listing
+	ready     []*server       // those that new calls may go to, this copy's subset first
+	detached  map[string]bool // those that operators have taken out, listed or not
 	reqs      map[string]*request
 	turns     map[string]*turn
 	tier      threadRule
