Pass long bodies on as they come, both ways, and take all forms of HTTP/1.1

A log of the refusals showed 411 for chunks and 413 over 64 KiB; slow bodies ended at 2.8 s in all, answers over 1 MiB were errors. Ruled out: memory (6 of 64 MB) and descriptors (44). Lines at fault: frontend.parse (TransferEncoding, maxBody), frontend.body (one deadline for the whole body), attempt.read (maxAnswer, one stall of 500 ms for the whole answer) and readLarge (whole, two at a time).

Up to 64 KiB of a body is held, so that a request can be sent again or an answer be asked for again; what is longer passes through 16 KiB buffers, each piece flushed, so that either side holds the other back. Nothing is sent again once a part is gone (Outcome.Spent), and the module hears of it. A request's time begins with its last byte: an upload is no call in flight before (Request.Streamed, Balancer.Uploaded); an answer's time is that of its first bytes. After them only a rest ends it: 5 s of the backend, 10 s of the client. What breaks off ends without its length or last chunk. Held bodies share a budget of an eighth of the memory; where it is full a body is passed on at once, so none waits. Head and chunks are net/http's; a look at the raw head (clients.go) refuses two framings, which net/http hides. Ways not chosen: files in $TMPDIR (count as memory), hijacked connections with framing of our own (all of HTTP/1.1 once more), waiting for room in the budget (holds back what the backend gives).

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -15,23 +15,20 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"fernlanding/logic"
 )
 
-const (
-	maxBody   = 64 << 10 // of a request, and of an answer without a Content-Length
-	maxAnswer = 1 << 20  // of an answer that gives one: some hundred KiB have been seen, 3 GB too
-)
-
 const (
 	answerHead = 8 << 10 // of a backend's answer, before its body
 	mostEarly  = 8       // 1xx answers ahead of one, at most
 
-	// Once an answer has begun, the rest of it is on its way; one whose length does not fit never ends.
+	// Once an answer has begun, the rest of it is on its way, if in pieces; one whose length does not fit never ends.
 	answerStall = 500 * time.Millisecond
+	earlyLeft   = 100 * time.Millisecond // for an answer that a backend gave before it had the whole request
 	// A second answer or noise may follow an answer. It came within 2 ms where it was seen; a connection that
 	// is used again sooner could take it for the next request's answer.
 	restFor = 20 * time.Millisecond
@@ -52,7 +49,6 @@
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
 	most    int           // open connections, those being opened included
-	large   chan struct{} // holds one for each large answer that is being read
 
 	staleWithin time.Duration
 
@@ -82,12 +78,40 @@
 	epoch int // of the backend when it was opened
 	since time.Time
 	idled time.Duration // before its present use; 0 on the first
+
+	stall time.Duration // each piece of what is read has this long; 0: no limit of its own
+	until time.Time     // and nothing may be read later than this, if not zero
+	gone  atomic.Bool   // cut
 }
 
-func newBackends(dialTimeout, idleClose time.Duration, most, large int) *backends {
+// cut ends all reads and writes, now and later.
+func (c *conn) cut() {
+	c.gone.Store(true)
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+// Read gives what comes while it comes.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.stall > 0 {
+		due := time.Now().Add(c.stall)
+		if !c.until.IsZero() && c.until.Before(due) {
+			due = c.until
+		}
+		_ = c.SetReadDeadline(due)
+		if c.gone.Load() { // while the deadline was set
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	return c.Conn.Read(b)
+}
+
+// SyscallConn lets quiet look at the socket.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+
+func newBackends(dialTimeout, idleClose time.Duration, most int) *backends {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, trusted: idleClose * 3 / 4, most: most,
-		staleWithin: staleWithin, large: make(chan struct{}, large), byName: map[string]*backend{}, out: map[string]bool{}}
+		staleWithin: staleWithin, byName: map[string]*backend{}, out: map[string]bool{}}
 }
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
@@ -216,7 +240,9 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("dial %s: %w", b.name, err)
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, answerHead), of: b, epoch: epoch}, nil
+	c := &conn{Conn: nc, of: b, epoch: epoch}
+	c.r = bufio.NewReaderSize(c, answerHead)
+	return c, nil
 }
 
 // reserve counts a connection in. At the limit the one that has been idle longest makes room.
@@ -256,7 +282,7 @@
 		p.closeLocked(c)
 		return
 	}
-	c.since = time.Now()
+	c.since, c.stall, c.until = time.Now(), 0, time.Time{}
 	c.of.idle = append(c.of.idle, c)
 }
 
@@ -323,7 +349,7 @@
 type attempt struct {
 	req      *request
 	number   int
-	sent     int64 // when the module decided
+	sent     int64 // when the module decided, or when the last byte of a streamed request went out
 	deadline time.Time
 	pool     *backends
 	backend  *backend
@@ -331,18 +357,37 @@
 	epoch    int
 	ctx      context.Context // its end stops the attempt
 	stop     context.CancelFunc
+	uploaded func(time.Time) time.Time // tells when the last byte of a streamed request went out; returns the new deadline
+	begin    func(*download)           // hands an answer over that is passed on as it comes
+
+	began bool // the loop's: the answer is being passed on
 }
 
 // result is how an attempt ended.
 type result struct {
 	status  logic.Status
-	fault   int    // the backend's 4xx: the request makes no sense, whoever gets it; else 0
+	fault   int    // the request makes no sense, whoever gets it, or its client has broken off: the answer; else 0
+	spent   bool   // a part of the request's body is gone
 	body    []byte // of a backend's 200
 	content string // and its Content-Type
 }
 
 // run carries the attempt out; it returns exactly one result, when nothing of the attempt is left.
 func (a *attempt) run() result {
+	res := a.try()
+	if u := a.req.rest; u != nil {
+		res.spent = u.used.Load()
+		if res.spent && u.broken != nil && a.ctx.Err() == nil && res.status != logic.OK {
+			res.fault = http.StatusBadRequest
+			if errors.Is(u.broken, errTooLong) {
+				res.fault = http.StatusRequestEntityTooLarge
+			}
+		}
+	}
+	return res
+}
+
+func (a *attempt) try() result {
 	c := a.pool.reuse(a.backend, a.epoch)
 	if c == nil {
 		var err error
@@ -378,7 +423,7 @@
 // exchange writes the request and reads the answer; keep tells whether the connection can serve again.
 func (a *attempt) exchange(c *conn) (res result, keep bool) {
 	// Stopping the attempt ends its reads and writes; the connection is then closed, never used again.
-	unhook := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	unhook := context.AfterFunc(a.ctx, c.cut)
 	defer func() {
 		if !unhook() {
 			keep = false
@@ -388,23 +433,30 @@
 	if a.ctx.Err() != nil { // stopped while the deadline was set
 		return result{status: logic.Moot}, false
 	}
-	head, err := a.encode()
-	if err != nil {
-		return result{status: logic.Moot}, true
-	}
-	written := time.Now()
-	if _, err := c.Write(head); err != nil {
-		// The last byte was not written, so the backend cannot have begun.
-		return result{status: logic.ConnectFailed}, false
+	var written time.Time
+	if a.req.rest != nil {
+		if res, ok := a.send(c); !ok {
+			return res, false
+		}
+	} else {
+		head, err := a.encode()
+		if err != nil {
+			return result{status: logic.Moot}, true
+		}
+		written = time.Now()
+		if _, err := c.Write(head); err != nil {
+			// The last byte was not written, so the backend cannot have begun.
+			return result{status: logic.ConnectFailed}, false
+		}
 	}
-	res, keep, err = a.read(c)
+	res, keep, err := a.read(c)
 	switch {
 	case err == nil:
 		return res, keep
+	case a.ctx.Err() != nil && !a.late():
+		return result{status: logic.Cancelled}, false
 	case a.late():
 		return result{status: logic.TimedOut}, false
-	case a.ctx.Err() != nil:
-		return result{status: logic.Cancelled}, false
 	}
 	if c.idled > 0 && errors.Is(err, errNoAnswer) && time.Since(written) < a.pool.staleWithin {
 		a.pool.stale(c)
@@ -412,24 +464,86 @@
 	return result{status: logic.Reset}, false
 }
 
+// send passes a request on while its client writes it. ok tells whether an answer is to be read: all of the request
+// has gone out. Before that a backend can only turn it away.
+func (a *attempt) send(c *conn) (res result, ok bool) {
+	u := a.req.rest
+	early, stopped := make(chan bool, 1), new(atomic.Bool)
+	_ = c.SetReadDeadline(time.Time{})
+	go func() {
+		_, err := c.r.Peek(1)
+		if err == nil && !u.ended.Load() { // an early word: no more of the request is wanted
+			stopped.Store(true)
+			_ = c.SetWriteDeadline(time.Unix(1, 0))
+		}
+		early <- err == nil
+	}()
+	err := a.out(io.MultiReader(bytes.NewReader(a.req.body), u)).Write(stalling{c, stopped})
+	now := time.Now()
+	if err == nil {
+		a.deadline = a.uploaded(now)
+		_ = c.SetDeadline(a.deadline)
+		if a.ctx.Err() != nil {
+			c.cut()
+		}
+		<-early // the answer, or the end of the wait for it
+		return res, true
+	}
+	_ = c.SetReadDeadline(now.Add(earlyLeft)) // it may have said why it took no more
+	if a.ctx.Err() != nil {
+		c.cut()
+	}
+	if said := <-early; !said || a.ctx.Err() != nil {
+		return result{status: logic.ConnectFailed}, false
+	}
+	u.broken = nil // it was us who stopped
+	res, _, err = a.read(c)
+	if err != nil || res.status == logic.OK { // nobody can have served what has not come whole
+		return result{status: logic.ConnectFailed}, false
+	}
+	return res, false
+}
+
+// stalling writes to a backend as long as it takes something in time.
+type stalling struct {
+	c       *conn
+	stopped *atomic.Bool
+}
+
+func (s stalling) Write(b []byte) (int, error) {
+	_ = s.c.SetWriteDeadline(time.Now().Add(streamStall))
+	if s.c.gone.Load() || s.stopped.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return s.c.Write(b)
+}
+
 var errNoAnswer = errors.New("no answer")
 
 // encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
 func (a *attempt) encode() ([]byte, error) {
+	var buf bytes.Buffer
+	if err := a.out(bytes.NewReader(a.req.body)).Write(&buf); err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+// out is the request as the backend gets it.
+func (a *attempt) out(body io.Reader) *http.Request {
 	r := a.req
 	left := max(1, time.Until(a.deadline).Milliseconds())
 	r.header.Set("Request-Timeout-Ms", strconv.FormatInt(left, 10))
 	path, query, _ := strings.Cut(r.uri, "?")
 	out := http.Request{Method: r.method, Host: r.host, Header: r.header, ContentLength: int64(len(r.body)),
 		URL: &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.uri, "?")}}
-	if len(r.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.body))
+	if r.rest != nil {
+		out.ContentLength = r.rest.length
 	}
-	var buf bytes.Buffer
-	if err := out.Write(&buf); err != nil {
-		return nil, fmt.Errorf("encode request: %w", err)
+	if out.ContentLength != 0 {
+		out.Body = io.NopCloser(body)
 	}
-	return buf.Bytes(), nil
+	return &out
 }
 
 // head looks at the next head as it came, and leaves it to be read. What net/http makes of it no longer shows
@@ -439,8 +553,7 @@
 		_, err := c.r.Peek(n)
 		b, _ := c.r.Peek(c.r.Buffered())
 		if end := bytes.Index(b, []byte("\r\n\r\n")); end >= 0 {
-			h := bytes.ToLower(b[:end])
-			if bytes.Contains(h, []byte("\ncontent-length")) && bytes.Contains(h, []byte("\ntransfer-encoding")) {
+			if twoFramings(b[:end]) {
 				return errors.New("two framings")
 			}
 			return nil
@@ -452,17 +565,19 @@
 	}
 }
 
-// read takes the whole answer: one that breaks off has not been given.
+// twoFramings tells whether a head says in two ways where its body ends.
+func twoFramings(head []byte) bool {
+	h := bytes.ToLower(head)
+	return bytes.Contains(h, []byte("\ncontent-length")) && bytes.Contains(h, []byte("\ntransfer-encoding"))
+}
+
+// read takes the answer. A short one is taken whole, so that one that breaks off has not been given; what is longer is
+// passed on as it comes.
 func (a *attempt) read(c *conn) (res result, keep bool, err error) {
 	if _, err := c.r.Peek(1); err != nil {
 		return res, false, fmt.Errorf("%w: %w", errNoAnswer, err)
 	}
-	if until := time.Now().Add(answerStall); until.Before(a.deadline) {
-		_ = c.SetDeadline(until)
-		if a.ctx.Err() != nil { // stopped while the deadline was set
-			return res, false, a.ctx.Err()
-		}
-	}
+	c.stall, c.until = answerStall, a.deadline
 	var resp *http.Response
 	for early := 0; resp == nil || resp.StatusCode < 200; early++ {
 		if early > mostEarly {
@@ -475,27 +590,22 @@
 			return res, false, fmt.Errorf("read answer: %w", err)
 		}
 	}
-	defer resp.Body.Close()
+	// The body is not closed, for that would read all of it: what has not been read ends with the connection.
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		// Its end would look the same as a break.
 		return res, false, errors.New("read answer: length not given")
 	}
-	var body []byte
-	if resp.ContentLength > maxAnswer {
-		return result{status: logic.Error}, false, nil
-	}
 	if resp.ContentLength > maxBody {
-		body, err = a.readLarge(c, resp)
-	} else if resp.ContentLength >= 0 {
-		body = make([]byte, resp.ContentLength)
-		_, err = io.ReadFull(resp.Body, body)
-	} else if body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1)); len(body) > maxBody {
 		return result{status: logic.Error}, false, nil
 	}
+	body, whole, err := hold(resp.Body, resp.ContentLength, a.req.lease, time.Now().Add(answerStall))
 	if err != nil {
 		return res, false, fmt.Errorf("read body: %w", err)
 	}
-	keep = !resp.Close && c.r.Buffered() == 0
+	if !whole && resp.StatusCode == http.StatusOK {
+		return a.pass(c, resp, body)
+	}
+	keep = whole && !resp.Close && c.r.Buffered() == 0
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return result{status: logic.OK, body: body, content: resp.Header.Get("Content-Type")}, keep, nil
@@ -510,32 +620,16 @@
 	return result{status: logic.Error}, keep, nil // it may have run
 }
 
-// readLarge reads a large body. Only a few are read at a time, lest their memory add up, and each part of one
-// has as long as a small answer.
-func (a *attempt) readLarge(c *conn, resp *http.Response) ([]byte, error) {
+// pass has an answer passed on as it comes. Its time was that of its first bytes; from here on only a rest ends it.
+func (a *attempt) pass(c *conn, resp *http.Response, first []byte) (res result, keep bool, err error) {
+	c.stall, c.until = streamStall, time.Time{}
+	d := &download{first: first, body: resp.Body, length: resp.ContentLength, conn: c,
+		content: resp.Header.Get("Content-Type"), done: make(chan error, 1)}
+	a.begin(d)
 	select {
-	case a.pool.large <- struct{}{}:
-		defer func() { <-a.pool.large }()
+	case err = <-d.done:
 	case <-a.ctx.Done():
-		return nil, a.ctx.Err()
-	case <-time.After(time.Until(a.deadline)):
-		return nil, os.ErrDeadlineExceeded
-	}
-	body := make([]byte, resp.ContentLength)
-	for read := 0; read < len(body); {
-		if until := time.Now().Add(answerStall); until.Before(a.deadline) {
-			_ = c.SetDeadline(until)
-		} else {
-			_ = c.SetDeadline(a.deadline)
-		}
-		if a.ctx.Err() != nil { // stopped while the deadline was set
-			return nil, a.ctx.Err()
-		}
-		n, err := io.ReadFull(resp.Body, body[read:min(len(body), read+maxBody)])
-		if err != nil {
-			return nil, err
-		}
-		read += n
+		err = a.ctx.Err()
 	}
-	return body, nil
+	return result{status: logic.OK}, err == nil && !resp.Close && c.r.Buffered() == 0, nil
 }
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"container/list"
 	"net"
 	"net/http"
@@ -38,7 +39,8 @@
 	since time.Time    // of its place
 	heard atomic.Int64 // when bytes last came, in Unix nanoseconds
 	asked atomic.Bool  // a request has been answered on it
-	list  *list.List   // nil while a request is open
+	head  head
+	list  *list.List // nil while a request is open
 	place *list.Element
 }
 
@@ -179,10 +181,52 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.heard.Store(time.Now().UnixNano())
+		c.head.note(b[:n])
 	}
 	return n, err
 }
 
+// head looks at the head of a connection's next request as it comes. What net/http makes of it no longer shows
+// whether it gave two framings, so that the body may hide another request.
+type head struct {
+	mu    sync.Mutex
+	bytes []byte // of one that has not ended
+	ended bool
+	sound bool // it has ended and says in one way where its body ends
+}
+
+// next begins another head.
+func (h *head) next() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bytes, h.ended, h.sound = nil, false, false
+}
+
+func (h *head) note(b []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return
+	}
+	if len(h.bytes) > 0 {
+		h.bytes = append(h.bytes, b...)
+		b = h.bytes
+	}
+	if end := bytes.Index(b, []byte("\r\n\r\n")); end >= 0 {
+		h.bytes, h.ended, h.sound = nil, true, !twoFramings(b[:end])
+	} else if len(b) > 2*maxHead {
+		h.bytes, h.ended = nil, true
+	} else if len(h.bytes) == 0 {
+		h.bytes = bytes.Clone(b)
+	}
+}
+
+func (h *head) isSound() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sound
+}
+
 // CloseWrite lets net/http end its side first, so that a client that is still sending reads its error.
 func (c *clientConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
 
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -53,12 +52,15 @@
 	tenants  map[string]int
 	server   *http.Server
 	clients  *clients
+	budget   *budget
+	log      *slog.Logger
 	draining atomic.Bool // SIGTERM has come: health checks are told
 	bound    atomic.Bool // clients may get no new connections here
 	closing  atomic.Bool // each connection ends with its answer
 	duck     atomic.Bool // operators want no clients here: health checks are told
 
-	succeeded atomic.Bool // another process of this proxy takes connections
+	streams   atomic.Int32 // answers that are passed on as they come
+	succeeded atomic.Bool  // another process of this proxy takes connections
 
 	mu       sync.Mutex     // held while lame duck begins or ends, and once SIGTERM has come
 	stopDuck func()         // ends what empties the proxy; nil when nothing does
@@ -67,7 +69,7 @@
 
 func newFrontend(site *settings.Site, l *loop, most int, log *slog.Logger) *frontend {
 	f := &frontend{site: site, loop: l, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		clients: newClients(nil, most)}
+		clients: newClients(nil, most), budget: &budget{}, log: log}
 	longest := int64(0)
 	for _, c := range site.Logic.Classes {
 		longest = max(longest, c.Deadline)
@@ -109,6 +111,9 @@
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
 	if r.URL.Path == "/_health" {
+		if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && r.ContentLength == 0 {
+			c.head.next()
+		}
 		f.health(w)
 		return
 	}
@@ -119,19 +124,38 @@
 		f.reply(w, fault)
 		return
 	}
+	defer req.lease.end()
 	if f.bound.Load() {
 		req.Lines, req.Spare = f.clients.lines()
 	}
 	l := f.loop
 	l.post(func() { l.take(req) })
-	select {
-	case ans := <-req.answer:
+	gone, u := r.Context().Done(), req.rest
+	if u != nil {
+		gone = nil // whoever passes the body on sees the client go, or only stop
+	}
+	var ans answer
+	for waiting := true; waiting; {
+		select {
+		case ans = <-req.answer:
+			waiting = false
+		case <-u.end():
+			gone, u = r.Context().Done(), nil
+		case <-gone: // the client has gone
+			l.post(func() { l.withdraw(req, answer{}) })
+			panic(http.ErrAbortHandler) // a return would answer 200
+		case <-l.done:
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if u != nil && !u.ended.Load() {
+		w.Header().Set("Connection", "close")
+		_ = u.control.SetReadDeadline(time.Now().Add(faultLinger))
+	}
+	if ans.stream != nil {
+		f.pass(w, r, ans)
+	} else {
 		f.reply(w, ans)
-	case <-r.Context().Done(): // the client has gone
-		l.post(func() { l.withdraw(req, answer{}) })
-		panic(http.ErrAbortHandler) // a return would answer 200
-	case <-l.done:
-		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -166,6 +190,7 @@
 	} else {
 		h["Content-Type"] = nil // not to be guessed
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeLeeway))
 	h.Set("Content-Length", strconv.Itoa(len(ans.body)))
 	if ans.status == http.StatusServiceUnavailable && ans.after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(float64(ans.after)/1e6, 'f', 3, 64))
@@ -174,6 +199,29 @@
 	_, _ = w.Write(ans.body) // a client that has gone is no fault
 }
 
+// pass gives an answer on as it comes. One that breaks off ends the connection, so that the client can tell.
+func (f *frontend) pass(w http.ResponseWriter, r *http.Request, ans answer) {
+	f.streams.Add(1)
+	defer f.streams.Add(-1)
+	d, err := ans.stream, http.ErrAbortHandler
+	defer func() { d.done <- err }()
+	h := w.Header()
+	if f.closing.Load() {
+		h.Set("Connection", "close")
+	}
+	h["Content-Type"] = nil // not to be guessed
+	if ans.content != "" {
+		h.Set("Content-Type", ans.content)
+	}
+	if d.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(d.length, 10))
+	}
+	if err = d.deliver(r.Context(), w); err != nil {
+		f.log.Warn("answer not finished", "id", r.Header.Get("Request-Id"), "error", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // parse reads a whole request. A fault is the answer to one that makes no sense; nothing of it goes on.
 func (f *frontend) parse(w http.ResponseWriter, r *http.Request, came time.Time) (*request, answer) {
 	bad := func(status int, why string) (*request, answer) {
@@ -182,8 +230,9 @@
 	if !r.ProtoAtLeast(1, 1) { // in these net/http drops a Transfer-Encoding unseen
 		return bad(http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here")
 	}
-	if len(r.TransferEncoding) > 0 { // with a Content-Length beside it the body may hide another request
-		return bad(http.StatusLengthRequired, "a body needs Content-Length alone")
+	conn, _ := r.Context().Value(clientKey{}).(*clientConn)
+	if len(r.TransferEncoding) > 0 && (conn == nil || !conn.head.isSound()) {
+		return bad(http.StatusBadRequest, "the length is given in two ways")
 	}
 	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Tenant", "Idempotency-Key"} {
 		if len(r.Header[name]) > 1 {
@@ -221,39 +270,62 @@
 	switch {
 	case r.ContentLength > maxBody:
 		return bad(http.StatusRequestEntityTooLarge, "the body is too large")
-	case r.ContentLength > 0 && method == http.MethodGet:
+	case r.ContentLength != 0 && method == http.MethodGet:
 		return bad(http.StatusBadRequest, "a body on a GET")
 	}
-	body, err := f.body(w, r)
-	if err != nil {
+	req := &request{method: method, uri: r.RequestURI, host: r.Host, lease: &lease{of: f.budget}, answer: make(chan answer, 1)}
+	if err := f.body(w, r, req, conn, came); errors.Is(err, errTooLong) {
+		req.lease.end()
+		return bad(http.StatusRequestEntityTooLarge, err.Error())
+	} else if err != nil {
+		req.lease.end()
 		return bad(http.StatusBadRequest, "the body broke off")
 	}
 	tenant, ok := f.tenants[r.Header.Get("Tenant")]
 	if !ok {
 		tenant = -1 // not told
 	}
-	wait -= min(answerMargin, wait/marginPart)
-	return &request{
-		Request: logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
-			GiveUp: f.loop.clock.at(came.Add(wait))},
-		method: method, uri: r.RequestURI, host: r.Host, header: passOn(r.Header), body: body,
-		answer: make(chan answer, 1),
-	}, answer{}
+	// The time of a request counts from its last byte.
+	req.wait = wait - min(answerMargin, wait/marginPart)
+	req.header = passOn(r.Header)
+	req.Request = logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
+		GiveUp: f.loop.clock.at(time.Now().Add(req.wait)), Streamed: req.rest != nil}
+	return req, answer{}
 }
 
-// body reads a body of known length. It grows with what comes: a length alone costs no memory.
-func (f *frontend) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	until := time.Now().Add(headPatience)
-	if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && !c.asked.Load() {
-		until = c.came.Add(firstPatience)
-	}
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(until)
-	var body bytes.Buffer
-	_, err := body.ReadFrom(r.Body)
-	// While the answer is awaited net/http reads on, to see a client that goes; that has no deadline.
-	_ = c.SetReadDeadline(time.Time{})
-	return body.Bytes(), err
+// body reads a body while it is held; what is longer is left to be passed on as it comes.
+func (f *frontend) body(w http.ResponseWriter, r *http.Request, req *request, conn *clientConn, came time.Time) error {
+	u := &upload{from: r.Body, length: r.ContentLength, control: http.NewResponseController(w),
+		start: came.Add(headPatience - bodyPatience)}
+	if conn != nil && !conn.asked.Load() {
+		u.start = later(came, conn.came.Add(firstPatience-bodyPatience))
+	}
+	var whole bool
+	var err error
+	if req.body, whole, err = hold(asHeld{u}, r.ContentLength, req.lease, time.Time{}); err != nil {
+		return err
+	}
+	if whole {
+		if conn != nil {
+			conn.head.next()
+		}
+		// While the answer is awaited net/http reads on, to see a client that goes; that has no deadline.
+		_ = u.control.SetReadDeadline(time.Time{})
+		return nil
+	}
+	req.rest, u.over = u, make(chan struct{})
+	if conn != nil {
+		u.next = conn.head.next
+	}
+	_ = u.control.EnableFullDuplex() // an answer may be due before the body has ended
+	return nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // passOn takes the headers that concern one connection out, and leaves net/http to frame the body.
@@ -361,7 +433,13 @@
 	}
 }
 
+// shutdown ends what is left. Answers that are being passed on go on: to cut them off would lose them, and whoever
+// wants them ended kills the process.
 func (f *frontend) shutdown(cutoff time.Time) {
+	for time.Now().Before(cutoff) && f.clients.count() > 0 || f.streams.Load() > 0 {
+		f.clients.closeIdle(0, acceptAfter)
+		time.Sleep(drainStep)
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
 	defer cancel()
 	_ = f.server.Shutdown(ctx)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -36,7 +37,10 @@
 	uri    string // path and query as they came
 	host   string
 	header http.Header // what goes on to the backend
-	body   []byte
+	body   []byte      // what is held of the body
+	rest   *upload     // what is not; nil if all of it is held
+	wait   time.Duration
+	lease  *lease      // for what is held
 	answer chan answer // takes the one final answer without a wait
 
 	over    bool
@@ -50,7 +54,8 @@
 	status  int
 	body    []byte
 	content string
-	after   int64 // of a refusal: come again after this, in microseconds; 0 for no word
+	after   int64     // of a refusal: come again after this, in microseconds; 0 for no word
+	stream  *download // in place of a body: it is passed on as it comes
 }
 
 // timer is an entry of the loop's timers: a token of the module's, or a request's time.
@@ -241,6 +246,9 @@
 	}
 	l.reqs[r.ID] = r
 	r.time = &timer{at: r.GiveUp + expireAfter.Microseconds(), req: r}
+	if r.rest != nil && l.cutoff == 0 { // its time has not begun
+		r.time.at = math.MaxInt64
+	}
 	heap.Push(&l.timers, r.time)
 	l.bal.Request(l.clock.now(), l, r.Request)
 }
@@ -264,9 +272,42 @@
 	}
 }
 
+// uploaded takes the news that a streamed request has gone out whole: its time begins.
+func (l *loop) uploaded(a *attempt, at time.Time) {
+	r := a.req
+	if r.over || r.current != a {
+		return
+	}
+	a.sent = l.clock.at(at)
+	r.GiveUp = l.clock.at(at.Add(r.wait))
+	if l.cutoff > 0 {
+		r.GiveUp = min(r.GiveUp, l.cutoff)
+	}
+	r.time.at = r.GiveUp + expireAfter.Microseconds()
+	heap.Fix(&l.timers, r.time.place)
+	l.bal.Uploaded(a.sent, r.ID, r.GiveUp)
+}
+
+// begin gives a request its final answer while that still comes. Its time was that of its first bytes, and for the
+// module its attempt has ended: the server's work on it is done.
+func (l *loop) begin(a *attempt, d *download) {
+	r := a.req
+	if r.over {
+		a.stop()
+		return
+	}
+	a.began = true
+	l.end(r, answer{status: http.StatusOK, content: d.content, stream: d})
+	now := l.clock.now()
+	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: logic.OK, Took: now - a.sent, Closed: true})
+}
+
 // withdraw ends a request that nobody waits for any more, and its attempt.
 func (l *loop) withdraw(r *request, ans answer) {
 	if r.over {
+		if r.current != nil && r.current.began { // an answer that nobody has taken
+			r.current.stop()
+		}
 		return
 	}
 	l.end(r, ans)
@@ -278,7 +319,9 @@
 
 // expire fails a request that the module has not ended in its time.
 func (l *loop) expire(r *request) {
-	l.withdraw(r, answer{status: http.StatusGatewayTimeout})
+	if !r.over {
+		l.withdraw(r, answer{status: http.StatusGatewayTimeout})
+	}
 }
 
 // hurry is for SIGTERM: all requests end by cutoff, since the process may be killed soon after.
@@ -298,6 +341,10 @@
 	if r.current == a {
 		r.current = nil
 	}
+	if a.began { // the module knows
+		l.forget(r)
+		return
+	}
 	if res.status == logic.OK {
 		l.end(r, answer{status: http.StatusOK, body: res.body, content: res.content})
 	}
@@ -308,7 +355,7 @@
 	}
 	now := l.clock.now()
 	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
-		Closed: r.over})
+		Closed: r.over, Spent: res.spent})
 	l.forget(r)
 }
 
@@ -332,6 +379,12 @@
 		l.unsent = append(l.unsent, a)
 		return
 	}
+	wait := time.Duration(until-now) * time.Microsecond
+	a.uploaded = func(at time.Time) time.Time {
+		l.post(func() { l.uploaded(a, at) })
+		return at.Add(wait)
+	}
+	a.begin = func(d *download) { l.post(func() { l.begin(a, d) }) }
 	a.ctx, a.stop = context.WithCancel(l.ctx)
 	r.current = a
 	l.attempts.Add(1)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,8 +18,6 @@
 const (
 	ownSockets  = 32 // descriptors that are neither a client's nor a backend's, generously
 	leastEach   = 8  // connections on either side, at least
-	leastLarge  = 2  // large answers that are read at a time, at least
-	largeMB     = 16 // of memory for each of them
 	requestPart = 3  // clients hold this part of the descriptors at most for requests
 
 	firstListWait = 1500 * time.Millisecond // a process that takes over knows a list already, and asks for the present one
@@ -81,8 +79,7 @@
 		cfg.Log.Error("what operators say is not kept", "error", err)
 		sh = &shared{log: cfg.Log}
 	}
-	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends,
-		max(leastLarge, int(cfg.MemoryMB)/largeMB)),
+	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends),
 		newZones(cfg.Site.Zones), cfg.Log)
 	p := &Proxy{cfg: cfg, loop: l, shared: sh, renews: make(chan string), opened: make(chan struct{}),
 		front: newFrontend(cfg.Site, l, forClients, cfg.Log)}
@@ -125,6 +122,7 @@
 	forClients, forBackends := divide(sockets)
 	p.front.clients.limit(max(forClients, leastEach))
 	p.loop.pool.limit(forBackends)
+	p.front.budget.limit(memory)
 	if memory > 0 {
 		debug.SetMemoryLimit(int64(memory * memoryPart * (1 << 20)))
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -122,6 +122,8 @@
 	// Where its clients can open no more connections: how many they have, and how many of these carry no
 	// request. Lines is 0 where they can.
 	Lines, Spare int
+	// Its body is still coming in and is passed on as it comes: no server can begin before Uploaded.
+	Streamed bool
 }
 
 // Status is how an attempt ended.
@@ -146,6 +148,7 @@
 	Status  Status
 	Took    int64
 	Closed  bool // the request is over; otherwise this proxy still owes the final answer
+	Spent   bool // a part of its body is gone, so that it cannot be sent again
 }
 
 // Host carries out what a Balancer decides. Its methods are called from inside event methods, are to
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -394,18 +394,41 @@
 	}
 	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
-	if b.s.Stage == 0 {
-		b.classes[q.Class].waiting = append(b.classes[q.Class].waiting, a)
-	}
 	q.out++
 	s.inflight++
-	b.tier.enter()
 	b.tier.pass.add(now)
-	b.classes[q.Class].rule.enter()
+	if !q.Streamed {
+		b.enterCall(q, a)
+	}
 	h.Send(q.ID, s.ID, b.timeout(now, q))
 	return true
 }
 
+// enterCall counts an attempt as a call in flight: its server has all of it and may begin.
+func (b *Balancer) enterCall(q *request, a *attempt) {
+	c := &b.classes[q.Class]
+	if b.s.Stage == 0 {
+		c.waiting = append(c.waiting, a)
+	}
+	b.tier.enter()
+	c.rule.enter()
+	a.counts = true
+}
+
+// Uploaded takes the news that the last byte of a streamed request has gone out. Its time counts from now on,
+// since what its client took to write it tells nothing of servers.
+func (b *Balancer) Uploaded(now int64, id string, giveUp int64) {
+	q := b.reqs[id]
+	if q == nil || !q.Streamed || len(q.attempts) == 0 {
+		return
+	}
+	q.Streamed, q.came, q.GiveUp = false, now, giveUp
+	if a := q.attempts[len(q.attempts)-1]; a.out {
+		a.sent = now
+		b.enterCall(q, a)
+	}
+}
+
 // timeout gives an attempt up when its answer would be worth nothing, and before that where another may
 // follow, so that a hung server frees its slot.
 func (b *Balancer) timeout(now int64, q *request) int64 {
@@ -549,8 +572,10 @@
 	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
 	q.out--
 	a.srv.inflight--
-	b.tier.threads--
-	b.classes[q.Class].rule.threads--
+	if a.counts {
+		b.tier.threads--
+		b.classes[q.Class].rule.threads--
+	}
 	b.learn(now, q, a, o)
 	b.report(now, h)
 	if q.turn != nil && slices.Contains([]Status{TimedOut, Reset, Cancelled}, o.Status) { // it may still run
@@ -559,7 +584,7 @@
 	}
 	if o.Closed || q.over {
 		b.finish(now, h, q)
-	} else if q.out > 0 || b.again(now, h, q) {
+	} else if q.out > 0 || !o.Spent && b.again(now, h, q) {
 		return
 	} else if b.mayRefuse(q) {
 		b.refuse(now, h, q)
--- a/logic/state.go
+++ b/logic/state.go
@@ -139,6 +139,7 @@
 	slow   bool // counted as slow before its end
 	mayRun bool // outstanding, or ended without proof that it never ran
 	out    bool
+	counts bool // in the counts of calls in flight
 }
 
 // turn is the line of one key's requests in the order of their arrival.
--- /dev/null
+++ b/logic/streamed_test.go
@@ -0,0 +1,49 @@
+package logic
+
+import "testing"
+
+// A request whose body is passed on as it comes holds no server until its last byte: it is no call in flight, and
+// what its client took to write it is not held against anybody.
+func TestAnUploadIsNoCallInFlightUntilItsEnd(t *testing.T) {
+	b, h := with(t, testSettings(), 2)
+	b.Request(start, h, Request{ID: "r", Class: 0, GiveUp: start + 1_000_000, Streamed: true})
+	if len(h.sends) != 1 || b.tier.threads != 0 || b.classes[0].rule.threads != 0 {
+		t.Fatalf("%d sends, %d calls in flight", len(h.sends), b.tier.threads)
+	}
+	late := start + 10_000_000
+	ask(b, h, late, "other", 0) // looks for slow calls
+	if b.shareEv.bad != 0 {
+		t.Error("the upload counts as slow")
+	}
+	b.Uploaded(late, "r", late+1_000_000)
+	b.Uploaded(late, "r", late+1_000_000)
+	b.Uploaded(late, "nobody", late)
+	if b.tier.threads != 2 || b.classes[0].rule.threads != 2 {
+		t.Errorf("%d calls in flight", b.tier.threads)
+	}
+	b.Outcome(late+1000, h, Outcome{ID: "r", Status: OK, Took: 1000, Closed: true})
+	if b.tier.threads != 1 || b.tier.ev.bad != 0 || b.reqs["r"] != nil {
+		t.Errorf("%d calls in flight, %d late", b.tier.threads, b.tier.ev.bad)
+	}
+	b.Request(late, h, Request{ID: "s", Class: 0, GiveUp: late + 1_000_000, Streamed: true})
+	b.Outcome(late+1000, h, Outcome{ID: "s", Status: Moot, Closed: true})
+	if b.tier.threads != 1 {
+		t.Errorf("an upload that broke off: %d calls in flight", b.tier.threads)
+	}
+}
+
+// A request that can't be sent again is refused at once where nothing has run, else failed, whatever its class allows.
+func TestASpentRequestGoesNowhereElse(t *testing.T) {
+	for _, c := range []struct {
+		class  int
+		status Status
+		want   string
+	}{{0, ConnectFailed, "refuse r"}, {2, FullUp, "refuse r"}, {0, Reset, "refuse r"}, {2, Reset, "fail r"}, {2, TimedOut, "fail r"}} {
+		b, h := with(t, testSettings(), 4)
+		b.Request(start, h, Request{ID: "r", Class: c.class, GiveUp: start + 1_000_000, Streamed: true})
+		b.Outcome(start+1000, h, Outcome{ID: "r", Status: c.status, Spent: true})
+		if len(h.sends) != 1 || h.last() != c.want {
+			t.Errorf("class %d, status %d: %d sends, then %q", c.class, c.status, len(h.sends), h.last())
+		}
+	}
+}
