Owe a backend that is put back one call soon

Ruled out with that: a ban that stays, a list that comes late. At fault is weigh in logic.go: in a late tier a backend of another zone weighs 0.02 and a cold one a fifth of that, and draw stops at the copy's subset, so that none of some 50 calls in 5 s goes there. relist now puts one that is owed a call first and weigh gives it a home server's weight until its first call; then it is as cold as any. Way not chosen: to send the next call there outright, which all copies would do in the same instant, and which a backend that is not up yet would fail.

The console's log now names the backend.

--- a/internal/proxy/console.go
+++ b/internal/proxy/console.go
@@ -81,14 +81,15 @@
 // ServeHTTP answers one call.
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	status, word := http.StatusOK, "ok\n"
-	if err := c.answer(w, r); err != nil {
+	id, err := c.answer(w, r)
+	if err != nil {
 		status, word = http.StatusServiceUnavailable, err.Error()+"\n"
 		if n, ok := errors.AsType[no](err); ok {
 			status = n.status
 		}
 	}
 	if r.URL.Path != "/_ready" {
-		c.log.Info("console", "call", r.URL.Path, "status", status, "word", strings.TrimSpace(word))
+		c.log.Info("console", "call", r.URL.Path, "id", id, "status", status, "word", strings.TrimSpace(word))
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(consoleBody)) // what is left of a body may never come
 	w.Header().Set("Content-Type", "text/plain")
@@ -96,32 +97,32 @@
 	_, _ = io.WriteString(w, word) // a caller that has gone is no fault
 }
 
-func (c *console) answer(w http.ResponseWriter, r *http.Request) error {
+func (c *console) answer(w http.ResponseWriter, r *http.Request) (id string, err error) {
 	known, ok := c.calls[r.RequestURI]
 	if !ok {
-		return no{http.StatusNotFound, "no such call"}
+		return "", no{http.StatusNotFound, "no such call"}
 	}
 	if r.Method != known.method {
 		w.Header().Set("Allow", known.method)
-		return no{http.StatusMethodNotAllowed, "the call is " + known.method}
+		return "", no{http.StatusMethodNotAllowed, "the call is " + known.method}
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(consoleBody))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBody))
 	if errors.As(err, new(*http.MaxBytesError)) {
-		return no{http.StatusRequestEntityTooLarge, "the body is too large"}
+		return "", no{http.StatusRequestEntityTooLarge, "the body is too large"}
 	} else if err != nil {
-		return no{http.StatusBadRequest, "the body broke off"}
+		return "", no{http.StatusBadRequest, "the body broke off"}
 	}
-	id := strings.TrimSpace(string(body))
+	id = strings.TrimSpace(string(body))
 	if known.named == (id == "") {
-		return no{http.StatusBadRequest, "the body has to hold the id of a backend, or nothing where none is named"}
+		return "", no{http.StatusBadRequest, "the body has to hold the id of a backend, or nothing where none is named"}
 	}
 	if conn, ok := r.Context().Value(clientKey{}).(*clientConn); ok {
 		c.conns.state(conn, http.StateActive)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), consoleWait)
 	defer cancel()
-	return known.do(ctx, id)
+	return id, known.do(ctx, id)
 }
 
 // do has the loop carry out f and waits until it has.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -147,6 +147,7 @@
 		return fmt.Errorf("shared state: %w", err)
 	}
 	close(p.opened)
+	p.cfg.Log.Info("open", "address", p.cfg.Listen, "console", p.cfg.Console, "others", before)
 	return nil
 }
 
--- a/logic/detach_test.go
+++ b/logic/detach_test.go
@@ -78,3 +78,26 @@
 		t.Errorf("after a repeated call its warmth is %v", w)
 	}
 }
+
+// A server that is put back is cold and may stand in another zone or outside this copy's subset. It gets one call soon
+// all the same, and then what a cold one gets.
+func TestAnAttachedServerGetsACallSoon(t *testing.T) {
+	set := testSettings()
+	set.Stage = 1 // other zones weigh little here
+	b, _ := with(t, set, 16)
+	drawn(b, start, 400)
+	last := b.ready[len(b.ready)-1]
+	for _, s := range b.ready {
+		if s.Zone != set.Zone {
+			last = s
+		}
+	}
+	b.Detach(last.ID)
+	b.Attach(start, last.ID)
+	if got := drawn(b, start, 60); got[last.ID] == 0 {
+		t.Errorf("it got nothing of 60 calls: %v", got)
+	}
+	if last.owed || b.weigh(start, last, 0) >= coldMargin {
+		t.Errorf("after its first call it weighs %v", b.weigh(start, last, 0))
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -245,6 +245,9 @@
 		}
 	}
 	b.rotate()
+	slices.SortStableFunc(b.ready, func(x, y *server) int { // those owed a call come first
+		return cmp.Compare(partOf(y.owed), partOf(x.owed))
+	})
 }
 
 // Detach takes the operators' word that a server is to get nothing more. It stands beside what the list says,
@@ -259,7 +262,7 @@
 func (b *Balancer) Attach(now int64, id string) {
 	if s := b.byID[id]; s != nil && b.detached[id] {
 		s.forget(len(b.classes))
-		s.back = now
+		s.back, s.owed = now, true
 	}
 	delete(b.detached, id)
 	b.relist()
@@ -395,6 +398,7 @@
 	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
 	q.out++
+	s.owed = false
 	s.inflight++
 	b.tier.pass.add(now)
 	if !q.Streamed {
@@ -493,6 +497,9 @@
 // weigh is a server's weight in the draw before the calls of this copy that it already holds: its size, what
 // was learned of it, its age and its zone.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
+	if s.owed { // just put back: one call is no burden, and shows that it is
+		return 1
+	}
 	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
 	if b.s.SizeHints && s.Size > 0 {
 		w *= s.Size
--- a/logic/state.go
+++ b/logic/state.go
@@ -108,6 +108,7 @@
 	inflight int
 	hash     uint64
 	back     int64 // when operators put it back to work; 0: never
+	owed     bool  // since then it has got nothing
 }
 
 // health is what is left of a server's weight, and its running part of failed calls.
