Let a new version begin with what the old one has learned

Cause: the new version's module is fresh. Its counts stand at a million and shares at 2.0 where the old one held tenants to 0.8, so that it lets through what tips servers into the slow state that lasts.

Design: while it takes connections, a process notes what its module has learned once a second in a second file in $TMPDIR (counts, shares, times, health; logic/learned.go); a process that starts beside another begins with a note of the last 5 s. Fields that make no sense are left out. A process that starts alone learns afresh as before.

--- a/internal/proxy/console.go
+++ b/internal/proxy/console.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"fernlanding/logic"
 )
 
 const (
@@ -208,11 +210,31 @@
 	return nil
 }
 
+// note writes down what the module has learned. The newest process does, once it takes connections.
+func (p *Proxy) note(ctx context.Context) {
+	select {
+	case <-p.opened:
+	default:
+		return
+	}
+	var learned logic.Learned
+	err := p.loop.do(ctx, func() { learned = p.loop.bal.Learned() })
+	if err == nil {
+		err = p.shared.note(learned)
+	}
+	if err != nil && ctx.Err() == nil {
+		p.cfg.Log.Error("what was learned is not noted", "error", err)
+	}
+}
+
 // agree follows what other processes of this proxy were told, and shares the limits with them while they live.
 func (p *Proxy) agree(ctx context.Context) {
 	tick := time.NewTicker(agreeEvery)
 	defer tick.Stop()
-	for alone := true; ; {
+	for alone, looks := true, 0; ; looks++ {
+		if looks%learnedEvery == 0 && !p.front.draining.Load() {
+			p.note(ctx)
+		}
 		if now := p.shared.alone(); now != alone {
 			alone = now
 			p.limit(alone)
--- a/internal/proxy/console_test.go
+++ b/internal/proxy/console_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"fernlanding/internal/settings"
+	"fernlanding/logic"
 )
 
 // startWithConsole starts a proxy that operators can call, in a folder that it may share with others; listen is the
@@ -513,3 +514,31 @@
 		t.Errorf("%d of 20 served, %d to the detached backend", ok, a.requests.Load())
 	}
 }
+
+// A new version begins with what the old one's module had learned, unless that is damaged or old.
+func TestANewVersionKnowsWhatTheOldOneLearned(t *testing.T) {
+	b := startBackend(t, says(served, true))
+	d, dir := startDiscovery(t), t.TempDir()
+	entry := listed("a", b.addr, statusServing)
+	old := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entry)
+	learned := func(p *running) logic.Learned {
+		got := make(chan logic.Learned, 1)
+		p.loop.post(func() { got <- p.loop.bal.Learned() })
+		return wait(t, "word of the loop", got)
+	}
+	l := learned(old)
+	l.Share, l.Tier = 0.5, 9
+	old.loop.post(func() { old.loop.bal.Learn(l) })
+	waitUntil(t, func() bool { got, ok, err := old.shared.learned(); return ok && err == nil && got.Share == 0.5 })
+	next := startWithConsole(t, dir, old.Addr(), d.addr, entry)
+	if got := learned(next); got.Share != 0.5 || got.Tier != 9 {
+		t.Errorf("got %+v", got)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "fernlanding-n0.json.learned"), []byte(`{"at":"now`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	third := startWithConsole(t, dir, old.Addr(), d.addr, entry)
+	if got := learned(third); got.Share == 0.5 {
+		t.Error("damage is learned from")
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -101,6 +101,10 @@
 		if err := p.open(); err != nil {
 			return nil, err
 		}
+	} else if learned, ok, err := sh.learned(); err != nil {
+		cfg.Log.Error("what was learned is not taken", "error", err)
+	} else if ok {
+		bal.Learn(learned)
 	}
 	return p, nil
 }
--- a/internal/proxy/shared.go
+++ b/internal/proxy/shared.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"fernlanding/logic"
 )
 
 const (
@@ -24,6 +26,9 @@
 	stateStep = 5 * time.Millisecond
 	maxState  = 1 << 20
 	backKept  = 10 * time.Minute // a backend that was put back longer ago is warm
+
+	learnedEvery = 20              // times that the state is looked at, for one note of what the module has learned
+	learnedFor   = 5 * time.Second // then it says little
 )
 
 // Locks on bytes of the lock file. Each process holds one of the seats while it lives, and one of the same
@@ -196,11 +201,48 @@
 	if err != nil {
 		return err
 	}
-	tmp := fmt.Sprintf("%s.%d", s.path, s.seat)
+	return s.replace(s.path, data)
+}
+
+// replace writes a file whole or not at all.
+func (s *shared) replace(path string, data []byte) error {
+	tmp := fmt.Sprintf("%s.%d", path, s.seat)
 	if err := os.WriteFile(tmp, data, 0o600); err != nil {
 		return err
 	}
-	return os.Rename(tmp, s.path)
+	return os.Rename(tmp, path)
+}
+
+// noted is what the module has learned, in a file beside the state.
+type noted struct {
+	At      time.Time     `json:"at"`
+	Learned logic.Learned `json:"learned"`
+}
+
+// note writes down what the module has learned, for a new version that takes over.
+func (s *shared) note(l logic.Learned) error {
+	data, err := json.Marshal(noted{time.Now(), l})
+	if err != nil {
+		return err
+	}
+	return s.replace(s.path+".learned", data)
+}
+
+// learned reads what the module of the process beside this one has learned; ok is false where nobody has noted it
+// lately.
+func (s *shared) learned() (l logic.Learned, ok bool, err error) {
+	data, err := os.ReadFile(s.path + ".learned")
+	if errors.Is(err, os.ErrNotExist) {
+		return l, false, nil
+	}
+	if err != nil {
+		return l, false, err
+	}
+	var n noted
+	if err := json.Unmarshal(data, &n); err != nil {
+		return l, false, err
+	}
+	return n.Learned, time.Since(n.At).Abs() < learnedFor, nil
 }
 
 // detach and attach change the state by one backend.
--- a/logic/detach_test.go
+++ b/logic/detach_test.go
@@ -97,7 +97,35 @@
 	if got := drawn(b, start, 60); got[last.ID] == 0 {
 		t.Errorf("it got nothing of 60 calls: %v", got)
 	}
+	h := &recorder{}
+	for _, first := range []func(){func() { b.Attach(start, last.ID) }, func() { // back before any list names it
+		b.List(start, h, Delta, []Server{{ID: last.ID}})
+		b.Attach(start, last.ID)
+		b.List(start, h, Delta, []Server{{ID: last.ID, Zone: last.Zone, State: Ready, Size: 1}})
+	}} {
+		b.Detach(last.ID)
+		first()
+		tries := 0
+		for i := range 200 { // and one that could not be reached is owed its call still
+			n := len(h.sends)
+			if ask(b, h, start, fmt.Sprint("t", i), 0); len(h.sends) == n {
+				continue
+			}
+			status := OK
+			if h.sends[n].server == last.ID && tries < 2 {
+				status = ConnectFailed
+			}
+			if h.sends[n].server == last.ID {
+				tries++
+			}
+			b.Outcome(start+1000, h, Outcome{ID: fmt.Sprint("t", i), Status: status, Took: 1000, Closed: true})
+		}
+		if tries < 3 {
+			t.Errorf("%d calls went there, two of them in vain", tries)
+		}
+	}
+	last = b.byID[last.ID]
 	if last.owed || b.weigh(start, last, 0) >= coldMargin {
-		t.Errorf("after its first call it weighs %v", b.weigh(start, last, 0))
+		t.Errorf("after its first call: owed %v, weighs %v", last.owed, b.weigh(start, last, 0))
 	}
 }
--- /dev/null
+++ b/logic/learned.go
@@ -0,0 +1,84 @@
+package logic
+
+import "math"
+
+// Learned is what a copy has learned, for the one that takes its place.
+type Learned struct {
+	Tier    float64                  `json:"tier"`
+	Share   float64                  `json:"share"`
+	Spill   float64                  `json:"spill"`
+	Errs    float64                  `json:"errs"`
+	Classes []LearnedClass           `json:"classes"`
+	Servers map[string]LearnedServer `json:"servers"`
+}
+
+// LearnedClass is what was learned of a class.
+type LearnedClass struct {
+	Count float64 `json:"count"`
+	Mean  float64 `json:"mean"`
+	Base  float64 `json:"base"`
+	Seen  float64 `json:"seen"`
+	Errs  float64 `json:"errs"`
+}
+
+// LearnedServer is what was learned of a server's process.
+type LearnedServer struct {
+	Launched int64     `json:"launched"`
+	Slowness float64   `json:"slowness"`
+	Left     float64   `json:"left"`
+	Classes  []float64 `json:"classes"`
+}
+
+// Learned returns what this copy has learned so far.
+func (b *Balancer) Learned() Learned {
+	l := Learned{Tier: b.tier.count, Share: b.share, Spill: b.spill, Errs: b.errs,
+		Servers: make(map[string]LearnedServer, len(b.all))}
+	for i := range b.classes {
+		c := &b.classes[i]
+		l.Classes = append(l.Classes, LearnedClass{c.rule.count, c.mean, c.base, c.seen, c.errs})
+	}
+	for _, s := range b.all {
+		k := LearnedServer{Launched: s.Launched, Slowness: s.slowness, Left: s.whole.left}
+		for _, c := range s.classes {
+			k.Classes = append(k.Classes, c.left)
+		}
+		l.Servers[s.ID] = k
+	}
+	return l
+}
+
+// Learn lets a fresh copy begin where another stands; what makes no sense is left out. It takes no part in what that
+// one still has out.
+func (b *Balancer) Learn(l Learned) {
+	set := func(to *float64, v, least, most float64) {
+		if v >= least && v <= most { // never so for NaN
+			*to = v
+		}
+	}
+	set(&b.tier.count, l.Tier, b.tier.least, startCount)
+	set(&b.share, l.Share, shareLow, b.shareMost)
+	set(&b.spill, l.Spill, spillLow, 1)
+	set(&b.errs, l.Errs, 0, 1)
+	if len(l.Classes) != len(b.classes) {
+		return
+	}
+	for i, k := range l.Classes {
+		c := &b.classes[i]
+		set(&c.rule.count, k.Count, c.rule.least, startCount)
+		set(&c.mean, k.Mean, 1, math.MaxInt32)
+		set(&c.base, k.Base, 1, c.mean)
+		set(&c.seen, k.Seen, 0, math.MaxInt32)
+		set(&c.errs, k.Errs, 0, 1)
+	}
+	for _, s := range b.all {
+		k, ok := l.Servers[s.ID]
+		if !ok || k.Launched != s.Launched || len(k.Classes) != len(s.classes) {
+			continue
+		}
+		set(&s.slowness, k.Slowness, 1/slowMost, slowMost)
+		set(&s.whole.left, k.Left, healthFloor, 1)
+		for i, left := range k.Classes {
+			set(&s.classes[i].left, left, healthFloor, 1)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -159,8 +159,8 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
-		detached: map[string]bool{},
-		reqs:     map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
+		detached: map[string]bool{}, awaited: map[string]int64{},
+		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
 		tenants: make([]originRule, len(s.Tenants)), classes: make([]classState, len(s.Classes))}
 	if s.BudgetSpan == 0 {
 		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
@@ -219,7 +219,8 @@
 func (b *Balancer) enter(e Server) {
 	s := b.byID[e.ID]
 	if s == nil {
-		s = &server{hash: hash(e.ID)}
+		s = &server{hash: hash(e.ID), back: b.awaited[e.ID], owed: b.awaited[e.ID] > 0}
+		delete(b.awaited, e.ID)
 		b.byID[e.ID] = s
 		b.all = append(b.all, s)
 	}
@@ -263,6 +264,8 @@
 	if s := b.byID[id]; s != nil && b.detached[id] {
 		s.forget(len(b.classes))
 		s.back, s.owed = now, true
+	} else if b.detached[id] {
+		b.awaited[id] = now
 	}
 	delete(b.detached, id)
 	b.relist()
@@ -398,7 +401,7 @@
 	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
 	q.out++
-	s.owed = false
+	a.owed, s.owed = s.owed, false
 	s.inflight++
 	b.tier.pass.add(now)
 	if !q.Streamed {
@@ -577,6 +580,7 @@
 	a := q.attempts[o.Attempt]
 	a.out = false
 	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
+	a.srv.owed = a.srv.owed || a.owed && (o.Status == ConnectFailed || o.Status == Moot) // it has got nothing
 	q.out--
 	a.srv.inflight--
 	if a.counts {
--- a/logic/state.go
+++ b/logic/state.go
@@ -140,6 +140,7 @@
 	slow   bool // counted as slow before its end
 	mayRun bool // outstanding, or ended without proof that it never ran
 	out    bool
+	owed   bool // the first call to a server that was put back
 	counts bool // in the counts of calls in flight
 }
 
@@ -221,9 +222,10 @@
 	s         Settings
 	rnd       *rand.Rand
 	byID      map[string]*server
-	all       []*server       // in order of first listing
-	ready     []*server       // those that new calls may go to, this copy's subset first
-	detached  map[string]bool // those that operators have taken out, listed or not
+	all       []*server        // in order of first listing
+	ready     []*server        // those that new calls may go to, this copy's subset first
+	detached  map[string]bool  // those that operators have taken out, listed or not
+	awaited   map[string]int64 // those put back that were not listed then, and when
 	reqs      map[string]*request
 	turns     map[string]*turn
 	tier      threadRule
