Read on what a refused client still writes, so that its answer arrives

A log of all faults showed none; of the answers, exactly as many 503 to uploads. Ruled out: time-outs of heads and bodies (no fault logged), streams cut by the backend. At fault: ServeHTTP gave the answer and left 0.5 s (faultLinger) for the rest of the body; a client at 64 kB/s was then reset in the middle of its body, and with it the answer that it had not read. Now the answer goes out at once and the rest is read at the client's pace, as long as it keeps one, and thrown away. Way not chosen: to hold the refusal back until the body has come, which answers late.

The test fails without the change (broken pipe).

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -377,9 +377,9 @@
 	res := a.try()
 	if u := a.req.rest; u != nil {
 		res.spent = u.used.Load()
-		if res.spent && u.broken != nil && a.ctx.Err() == nil && res.status != logic.OK {
+		if err := u.failure(); res.spent && err != nil && a.ctx.Err() == nil && res.status != logic.OK {
 			res.fault = http.StatusBadRequest
-			if errors.Is(u.broken, errTooLong) {
+			if errors.Is(err, errTooLong) {
 				res.fault = http.StatusRequestEntityTooLarge
 			}
 		}
@@ -496,7 +496,6 @@
 	if said := <-early; !said || a.ctx.Err() != nil {
 		return result{status: logic.ConnectFailed}, false
 	}
-	u.broken = nil // it was us who stopped
 	res, _, err = a.read(c)
 	if err != nil || res.status == logic.OK { // nobody can have served what has not come whole
 		return result{status: logic.ConnectFailed}, false
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -121,10 +121,33 @@
 	used    atomic.Bool   // something of it is gone
 	ended   atomic.Bool   // all of it has come
 	over    chan struct{} // closed then
+	mu      sync.Mutex    // held while something is read
 	broken  error         // why the client's part failed
 	next    func()        // told at the end; may be nil
 }
 
+// failure tells why the client's part failed.
+func (u *upload) failure() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.broken
+}
+
+// drain reads what a client still writes after its answer has been given: a close would reset what it has not read.
+func (u *upload) drain() {
+	if u.ended.Load() || u.control.Flush() != nil {
+		return
+	}
+	buf := copyBuffers.Get().(*[copySize]byte)
+	defer copyBuffers.Put(buf)
+	for {
+		if _, err := u.Read(buf[:]); err != nil { // also io.EOF, and a client that has stopped
+			_ = u.control.SetReadDeadline(time.Now().Add(faultLinger))
+			return
+		}
+	}
+}
+
 // end is closed when all of the body has come; without one it never is.
 func (u *upload) end() <-chan struct{} {
 	if u == nil {
@@ -138,6 +161,8 @@
 
 // Read gives what the client writes. It fails when the client has stopped.
 func (u *upload) Read(b []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.used.Store(true)
 	n, err := u.read(b)
 	if err == io.EOF {
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -468,3 +468,30 @@
 		t.Errorf("%v were left of 4 s", left)
 	}
 }
+
+// A client that was refused while it still wrote had its connection reset, and with it the answer. It is answered at
+// once, and what it writes is read to the end.
+func TestARefusedClientMayFinishWriting(t *testing.T) {
+	b := startRawBackend(t, func(w io.Writer, r *http.Request) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+		return false
+	})
+	p := withBackend(t, b)
+	const size = 2 << 20
+	c := connect(t, p)
+	c.send(t, post("1", fmt.Sprint("Content-Length: ", size))+text(100_000))
+	var first [12]byte
+	if _, err := io.ReadFull(c.r, first[:]); err != nil || string(first[:]) != "HTTP/1.1 503" {
+		t.Fatalf("got %q, %v", first, err)
+	}
+	for left := size - 100_000; left > 0; left -= 100_000 {
+		time.Sleep(50 * time.Millisecond)
+		if _, err := io.WriteString(c, text(min(left, 100_000))); err != nil {
+			t.Fatalf("with %d bytes left to write: %v", left, err)
+		}
+	}
+	if _, err := io.ReadAll(c.r); err != nil {
+		t.Errorf("the end of the connection: %v", err)
+	}
+	nothingLeft(t, p)
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -150,13 +150,15 @@
 	}
 	if u != nil && !u.ended.Load() {
 		w.Header().Set("Connection", "close")
-		_ = u.control.SetReadDeadline(time.Now().Add(faultLinger))
 	}
 	if ans.stream != nil {
 		f.pass(w, r, ans)
 	} else {
 		f.reply(w, ans)
 	}
+	if u != nil {
+		u.drain()
+	}
 }
 
 func (f *frontend) health(w http.ResponseWriter) {
