Spread the retries of discovery by chance

Proxies that lose discovery together asked again at the same instants (50, 100, 200 ms and so on after the break). Each wait is now between half and all of what it was. The last list stood before and stands; tests cover an answer that breaks off and one that stalls in its middle.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -137,7 +138,7 @@
 				continue
 			}
 			select {
-			case <-time.After(wait):
+			case <-time.After(jitter(wait)):
 			case <-ctx.Done():
 			}
 			wait = min(2*wait, retryMost)
@@ -148,6 +149,9 @@
 	}
 }
 
+// jitter is a part of a wait, so that proxies that lost discovery together do not come back together.
+func jitter(wait time.Duration) time.Duration { return wait/2 + rand.N(wait/2+1) }
+
 func (d *discovery) tell(ctx context.Context, n listNews) {
 	select {
 	case d.lists <- n:
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -509,6 +510,65 @@
 	}
 }
 
+// Discovery went down under all proxies at once, and each asked again at the same instants.
+func TestRetriesAreSpread(t *testing.T) {
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		w := jitter(retryMost)
+		if seen[w] = true; w < retryMost/2 || w > retryMost {
+			t.Fatalf("waits %v", w)
+		}
+	}
+	if len(seen) < 50 {
+		t.Errorf("%d different waits of 100", len(seen))
+	}
+}
+
+// An answer of discovery that breaks off or stalls in the middle changes nothing: the last list stands, and the whole
+// one is asked for again soon.
+func TestAListThatBreaksOffOrStallsIsAskedForAgain(t *testing.T) {
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	whole := listText(9, true, listed("b", b.addr, statusServing))
+	for name, cut := range map[string]bool{"breaks off": true, "stalls": false} {
+		t.Run(name, func(t *testing.T) {
+			over := make(chan struct{})
+			var calls atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch n := calls.Add(1); {
+				case n == 1:
+					w.Header().Set("Content-Length", fmt.Sprint(len(whole)))
+					_, _ = io.WriteString(w, whole[:len(whole)/2])
+					_ = http.NewResponseController(w).Flush()
+					if !cut {
+						select {
+						case <-over:
+						case <-r.Context().Done():
+						}
+					}
+				case n == 2:
+					_, _ = io.WriteString(w, whole)
+				default:
+					select {
+					case <-over:
+					case <-r.Context().Done():
+					}
+				}
+			}))
+			defer s.Close()
+			defer close(over)
+			p := startProxy(t, strings.TrimPrefix(s.URL, "http://"), 200, listText(1, true, listed("a", a.addr, statusServing)))
+			start, came := time.Now(), b.requests.Load()
+			if ok := p.asks(t, 1); ok != 1 {
+				t.Error("the last list does not stand")
+			}
+			waitUntil(t, func() bool { p.asks(t, 1); return b.requests.Load() > came })
+			if took := time.Since(start); took > pushPatience+time.Second {
+				t.Errorf("the present list was known after %v", took)
+			}
+		})
+	}
+}
+
 // A new configuration names another discovery: its whole list replaces the old one, whatever their versions,
 // the old watch ends, and what the old address says later is not heard. The old list stands until then.
 func TestANewDiscoveryReplacesTheOldOne(t *testing.T) {
