Take nothing late in a process that ends, and spare connections with half a head

Ruled out: our own deadlines (each would be logged), the drain (it waits for such answers). SIGKILL cut them: handOver served idle connections for 1.5 s more, and what comes later than 0.7 s after SIGTERM has to be answered before it. Now all idle ones are closed by 0.5 s, and a request whose last byte came after 0.6 s fails before a long answer begins (loop.begin): a failed request is no lost one. Way not chosen: to refuse all requests after 0.6 s, though most answers are short.

Both tests were seen to fail without their change.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -166,6 +166,10 @@
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
 		rested := time.Since(c.since)
+		if time.Unix(0, c.heard.Load()).After(c.since) { // a request whose head comes slowly, for which it has its time
+			busy++
+			continue
+		}
 		if (c.list == l.idle && rested >= idleFor || c.list == l.silent && rested > newFor) && quiet(c) {
 			l.remove(c)
 			c.Conn.Close()
--- a/internal/proxy/console_test.go
+++ b/internal/proxy/console_test.go
@@ -542,3 +542,65 @@
 		t.Error("damage is learned from")
 	}
 }
+
+// SIGKILL cut off long answers to requests that the old process had taken late. It takes none on idle connections after
+// 0.5 s, and one whose body ends later fails before a long answer begins; one that came in time has its whole answer.
+func TestALateRequestGetsNoLongAnswerFromTheOldProcess(t *testing.T) {
+	b := startReader(t, func(w io.Writer, r *http.Request, body []byte) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n%s", text(300_000))
+	})
+	d, dir := startDiscovery(t), t.TempDir()
+	entry := listed("a", b.addr, statusServing)
+	old := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entry)
+	uploads := make([]*client, 2)
+	for i := range uploads {
+		uploads[i] = connect(t, old)
+		uploads[i].send(t, post(fmt.Sprint(i), "Content-Length: 100000")+text(100_000)[:70_000])
+	}
+	idle := connect(t, old)
+	idle.send(t, look("x", 4000))
+	idle.answer(t)
+	next := startWithConsole(t, dir, old.Addr(), d.addr, entry)
+	<-next.opened
+	old.stop()
+	waitUntil(t, func() bool { return old.front.draining.Load() })
+	told := time.Now()
+	for i, want := range []int{200, 502} {
+		rest := text(100_000)[70_000:]
+		uploads[i].send(t, rest[:15_000])
+		if want == 502 {
+			if _, err := idle.r.ReadByte(); err != io.EOF || time.Since(told) > time.Second {
+				t.Errorf("the idle connection: %v after %v", err, time.Since(told))
+			}
+			time.Sleep(time.Until(told.Add(takenLate + 200*time.Millisecond)))
+		}
+		uploads[i].send(t, rest[15_000:])
+		if resp, _ := uploads[i].answer(t); resp.StatusCode != want {
+			t.Errorf("request %d: got %s", i, resp.Status)
+		}
+	}
+	if err := wait(t, "end of Run", old.done); err != nil {
+		t.Error(err)
+	}
+}
+
+// A request whose head comes in pieces was reset when its connection counted as idle meanwhile.
+func TestASlowHeadIsNoIdleConnection(t *testing.T) {
+	p, _, _ := operated(t)
+	kept, fresh := connect(t, p), connect(t, p)
+	kept.send(t, look("0", 4000))
+	kept.answer(t)
+	head := look("1", 4000)
+	for _, c := range []*client{kept, fresh} {
+		c.send(t, head[:20])
+		time.Sleep(20 * time.Millisecond)
+	}
+	operate(t, p, "POST /_lameduck/on", "")
+	time.Sleep(duckAfter + acceptAfter + 200*time.Millisecond)
+	for i, c := range []*client{kept, fresh} {
+		c.send(t, strings.Replace(head, "Request-Id: 1", fmt.Sprint("Request-Id: s", i), 1)[20:])
+		if resp, _ := c.answer(t); resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("connection %d: got %s, close %v", i, resp.Status, resp.Close)
+		}
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -34,9 +34,10 @@
 	duckAfter = 400 * time.Millisecond
 
 	// While a new version takes over, idle connections are closed when they have stood for so long, and all of them
-	// from so long after SIGTERM on. Requests that cross a close are dear.
-	handOverIdle = 500 * time.Millisecond
-	handOverLast = 1500 * time.Millisecond
+	// from so long after SIGTERM on. Requests that cross a close are dear, but those that come more than 0.7 s after
+	// SIGTERM have to be answered before SIGKILL, and their answers may be long.
+	handOverIdle = 300 * time.Millisecond
+	handOverLast = 500 * time.Millisecond
 
 	// The answer to a request is to leave this long before its client gives up, so that a busy core does
 	// not make it late, but a request with little time keeps most of it.
@@ -290,6 +291,7 @@
 	// The time of a request counts from its last byte.
 	req.wait = wait - min(answerMargin, wait/marginPart)
 	req.header = passOn(r.Header)
+	req.came = f.loop.clock.now()
 	req.Request = logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
 		GiveUp: f.loop.clock.at(time.Now().Add(req.wait)), Streamed: req.rest != nil}
 	return req, answer{}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -39,6 +39,7 @@
 	header http.Header // what goes on to the backend
 	body   []byte      // what is held of the body
 	rest   *upload     // what is not; nil if all of it is held
+	came   int64       // when its last byte had come
 	wait   time.Duration
 	lease  *lease      // for what is held
 	answer chan answer // takes the one final answer without a wait
@@ -108,6 +109,7 @@
 	attempts sync.WaitGroup
 	ctx      context.Context // of all attempts
 	cutoff   int64           // after SIGTERM: nothing waits beyond this; else 0
+	lastCall int64           // where another process takes over: what comes later gets no long answer; else 0
 	done     chan struct{}   // closed when the loop has ended
 }
 
@@ -278,7 +280,7 @@
 	if r.over || r.current != a {
 		return
 	}
-	a.sent = l.clock.at(at)
+	a.sent, r.came = l.clock.at(at), l.clock.at(at)
 	r.GiveUp = l.clock.at(at.Add(r.wait))
 	if l.cutoff > 0 {
 		r.GiveUp = min(r.GiveUp, l.cutoff)
@@ -296,6 +298,11 @@
 		a.stop()
 		return
 	}
+	if l.lastCall > 0 && r.came > l.lastCall {
+		// SIGKILL might cut the answer off in its middle. A failed request is no lost one.
+		l.withdraw(r, answer{status: http.StatusBadGateway})
+		return
+	}
 	a.began = true
 	l.end(r, answer{status: http.StatusOK, content: d.content, stream: d})
 	now := l.clock.now()
@@ -325,8 +332,8 @@
 }
 
 // hurry is for SIGTERM: all requests end by cutoff, since the process may be killed soon after.
-func (l *loop) hurry(cutoff int64) {
-	l.cutoff = cutoff
+func (l *loop) hurry(cutoff, lastCall int64) {
+	l.cutoff, l.lastCall = cutoff, lastCall
 	for _, r := range l.reqs {
 		if r.time.place >= 0 && r.time.at > cutoff {
 			r.time.at = cutoff
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,6 +29,7 @@
 	killAfter   = 3 * time.Second        // SIGKILL comes the longest deadline, or this, after SIGTERM
 	killLeeway  = 500 * time.Millisecond // and somewhat more
 	servePart   = 0.7                    // of the time between: requests are taken; the rest is for their answers
+	takenLate   = 600 * time.Millisecond // what comes later than 0.7 s after SIGTERM and is cut off by SIGKILL is lost
 	drainStep   = 20 * time.Millisecond
 )
 
@@ -209,7 +210,11 @@
 	p.front.succeeded.Store(p.shared.succeeded())
 	p.front.terminate()
 	p.shared.shut()
-	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff)) })
+	lastCall := int64(0)
+	if p.front.succeeded.Load() {
+		lastCall = p.loop.clock.at(told.Add(takenLate))
+	}
+	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff), lastCall) })
 	if p.front.succeeded.Load() {
 		p.front.handOver(cutoff)
 		return nil
