Look at the client's socket right before the first byte to a backend

Why: only net/http's one-byte background read looked for a client that goes (frontend.go, gone). It sees nothing behind a byte that nobody reads, does not run while a long body is open, and comes after the first send of a request read late. Mend: attempt.due holds all that may stop a first byte (end, time, list, client) and is asked before the dial and again right before the first write; what a look puts back keeps the age it had for its peer (backends.keep).

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -78,6 +78,7 @@
 	epoch int // of the backend when it was opened
 	since time.Time
 	idled time.Duration // before its present use; 0 on the first
+	used  bool          // something was written for its present use
 
 	stall time.Duration // each piece of what is read has this long; 0: no limit of its own
 	until time.Time     // and nothing may be read later than this, if not zero
@@ -282,7 +283,10 @@
 		p.closeLocked(c)
 		return
 	}
-	c.since, c.stall, c.until = time.Now(), 0, time.Time{}
+	if c.used || c.since.IsZero() { // for its peer one that was only looked at has stood idle all along
+		c.since = time.Now()
+	}
+	c.used, c.stall, c.until = false, 0, time.Time{}
 	c.of.idle = append(c.of.idle, c)
 }
 
@@ -367,6 +371,7 @@
 type result struct {
 	status  logic.Status
 	fault   int    // the request makes no sense, whoever gets it, or its client has broken off: the answer; else 0
+	left    bool   // the client had left before anything was sent
 	spent   bool   // a part of the request's body is gone
 	body    []byte // of a backend's 200
 	content string // and its Content-Type
@@ -388,6 +393,9 @@
 }
 
 func (a *attempt) try() result {
+	if res, ok := a.due(); !ok {
+		return res
+	}
 	c := a.pool.reuse(a.backend, a.epoch)
 	if c == nil {
 		var err error
@@ -398,11 +406,6 @@
 			return result{status: logic.ConnectFailed}
 		}
 	}
-	// A dial takes time. What has ended, drained or gone meanwhile gets nothing new.
-	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
-		a.pool.keep(c)
-		return result{status: logic.Moot}
-	}
 	res, keep := a.exchange(c)
 	if keep {
 		a.pool.keep(c)
@@ -412,6 +415,19 @@
 	return res
 }
 
+// due tells whether the attempt may still begin; if not, with what it ends. A dial takes time, and so does a busy core:
+// it is asked again right before the first byte. What has ended, drained or gone by then gets nothing new, and nothing
+// is sent for a client that has left.
+func (a *attempt) due() (result, bool) {
+	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
+		return result{status: logic.Moot}, false
+	}
+	if a.req.left() {
+		return result{status: logic.Moot, left: true}, false
+	}
+	return result{}, true
+}
+
 func (a *attempt) late() bool { return !time.Now().Before(a.deadline) }
 
 func (a *attempt) dial() (*conn, error) {
@@ -430,19 +446,23 @@
 		}
 	}()
 	_ = c.SetDeadline(a.deadline)
-	if a.ctx.Err() != nil { // stopped while the deadline was set
-		return result{status: logic.Moot}, false
+	var head []byte
+	if a.req.rest == nil {
+		var err error
+		if head, err = a.encode(); err != nil {
+			return result{status: logic.Moot}, true
+		}
 	}
+	if res, ok := a.due(); !ok { // the last look before the first byte
+		return res, true
+	}
+	c.used = true
 	var written time.Time
 	if a.req.rest != nil {
 		if res, ok := a.send(c); !ok {
 			return res, false
 		}
 	} else {
-		head, err := a.encode()
-		if err != nil {
-			return result{status: logic.Moot}, true
-		}
 		written = time.Now()
 		if _, err := c.Write(head); err != nil {
 			// The last byte was not written, so the backend cannot have begun.
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -35,6 +35,7 @@
 type fakeBackend struct {
 	addr     string
 	requests atomic.Int32 // that have come whole
+	begun    atomic.Int32 // of which a byte has come
 	conns    atomic.Int32
 	closed   chan struct{} // one for each connection that has ended
 }
@@ -73,6 +74,10 @@
 			go func() {
 				defer func() { c.Close(); b.closed <- struct{}{} }()
 				for r := bufio.NewReader(c); ; {
+					if _, err := r.Peek(1); err != nil {
+						return
+					}
+					b.begun.Add(1)
 					req, err := http.ReadRequest(r)
 					if err != nil || !reply(c, req) {
 						return
@@ -117,7 +122,7 @@
 func newAttempt(p *backends, name string, left time.Duration) *attempt {
 	a := &attempt{pool: p, deadline: time.Now().Add(left), req: &request{Request: logic.Request{ID: "1"},
 		method: http.MethodGet, uri: "/look/k%2f1?x=%20y", host: "backend.local",
-		header: http.Header{"Request-Id": {"1"}, "User-Agent": {""}}}}
+		header: http.Header{"Request-Id": {"1"}, "User-Agent": {""}}, left: func() bool { return false }}}
 	a.backend, a.addr, a.epoch, _ = p.find(name)
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	return a
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -309,13 +309,14 @@
 	waitUntil(t, func() bool {
 		left := make(chan int, 1)
 		p.loop.post(func() { left <- len(p.loop.reqs) + len(p.loop.timers) })
+		n := wait(t, "word of the loop", left) // before the lock, which the loop takes as well
 		p.loop.pool.mu.Lock()
 		defer p.loop.pool.mu.Unlock()
 		idle := 0
 		for _, b := range p.loop.pool.byName {
 			idle += len(b.idle)
 		}
-		return wait(t, "word of the loop", left) == 0 && p.loop.pool.open == idle && p.front.budget.inUse() == 0
+		return n == 0 && p.loop.pool.open == idle && p.front.budget.inUse() == 0
 	})
 }
 
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -15,6 +15,8 @@
 	// A connection that has said nothing for this long is no client about to ask.
 	silentGrace = 250 * time.Millisecond
 	justHeard   = 100 * time.Millisecond // see clients.just
+
+	tcpEstablished = 1 // the state of a connection that neither side has closed
 )
 
 // clients accepts the connections of clients and knows which of them carry a request. It goes on accepting
@@ -231,6 +233,21 @@
 	return h.sound
 }
 
+// left tells whether the client has closed its connection or reset it. Unlike a read it sees that behind bytes that
+// nobody has read yet, and it may be asked at any time.
+func (c *clientConn) left() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info [4]byte // of struct tcp_info, which begins with the connection's state
+	var inner error
+	err = raw.Control(func(fd uintptr) {
+		info, inner = syscall.GetsockoptInet4Addr(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	})
+	return err != nil || inner == nil && info[0] != tcpEstablished // closed here, or there
+}
+
 // CloseWrite lets net/http end its side first, so that a client that is still sending reads its error.
 func (c *clientConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
 
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -149,6 +149,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if ans.status == 0 { // nobody is there to take it
+		panic(http.ErrAbortHandler)
+	}
 	if u != nil && !u.ended.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -276,7 +279,8 @@
 	case r.ContentLength != 0 && method == http.MethodGet:
 		return bad(http.StatusBadRequest, "a body on a GET")
 	}
-	req := &request{method: method, uri: r.RequestURI, host: r.Host, lease: &lease{of: f.budget}, answer: make(chan answer, 1)}
+	req := &request{method: method, uri: r.RequestURI, host: r.Host, lease: &lease{of: f.budget}, answer: make(chan answer, 1),
+		left: func() bool { return conn != nil && conn.left() }}
 	if err := f.body(w, r, req, conn, came); errors.Is(err, errTooLong) {
 		req.lease.end()
 		return bad(http.StatusRequestEntityTooLarge, err.Error())
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -42,6 +42,7 @@
 	came   int64       // when its last byte had come
 	wait   time.Duration
 	lease  *lease      // for what is held
+	left   func() bool // whether its client has left
 	answer chan answer // takes the one final answer without a wait
 
 	over    bool
@@ -50,7 +51,7 @@
 	time    *timer   // its end, whatever the module says
 }
 
-// answer is a final answer.
+// answer is a final answer; without a status nobody is there to take one.
 type answer struct {
 	status  int
 	body    []byte
@@ -355,6 +356,9 @@
 	if res.status == logic.OK {
 		l.end(r, answer{status: http.StatusOK, body: res.body, content: res.content})
 	}
+	if res.left {
+		l.end(r, answer{})
+	}
 	if res.fault != 0 {
 		// The client's fault is no evidence against the backend, and another would say the same.
 		l.end(r, answer{status: res.fault})
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -92,6 +92,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return run(t, p)
+}
+
+func run(t *testing.T, p *Proxy) *running {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{Proxy: p, stop: stop, done: make(chan error, 1)}
 	ended := make(chan struct{})
