Keep a watch open across a silence of discovery, from the version that the proxy has

Why: while discovery was down a proxy asked for the whole list, waited 1 s, rested up to 0.5 s and asked again (discovery.go: pushPatience, retryMost, index = -1 after every failure). Ruled out: a loop that is behind (lists go first; the list was applied 1 to 3 ms after its call began).

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -258,9 +258,13 @@
 // follows the new. Until the new one has answered the old list stands.
 func (p *Proxy) watch(ctx context.Context) {
 	subscribe := p.cfg.Site.Logic.Subscribe && p.cfg.Known != nil // with no list at all nobody says when to ask
-	for addr := p.cfg.Discovery; ctx.Err() == nil; subscribe = false {
+	known := int64(-1)
+	if p.cfg.Known != nil {
+		known = p.cfg.Known.index
+	}
+	for addr := p.cfg.Discovery; ctx.Err() == nil; known, subscribe = -1, false {
 		one, stop := context.WithCancel(ctx)
-		d, first := newDiscovery(addr, p.cfg.Site.Logic.Subscribe, p.cfg.Log, p.loop.lists, p.loop.asked), subscribe
+		d, first := newDiscovery(addr, known, p.cfg.Site.Logic.Subscribe, p.cfg.Log, p.loop.lists, p.loop.asked), subscribe
 		var part sync.WaitGroup
 		part.Go(func() { d.run(one, p.cfg.Site.Logic.Subscribe, first) })
 		addr = p.renewed(ctx, addr)
