Take no address of discovery at SIGHUP that cannot be called

Seen in the review of SIGHUP: a new configuration whose discovery is no host and port was taken; the watch that worked was ended for one that cannot be opened, and drains would have been missed from then on. Why: load checked that discovery is not empty (cmd/fernlanding/main.go, renew). Ruled out: settings, seed and limits that make no sense; load refuses these, and nothing changes. Test: TestANewConfigurationNamesDiscovery, two more files; both were taken before.

--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -65,6 +66,9 @@
 // holds from the next start. A file that makes no sense changes nothing.
 func renew(env func(string) string, discovery func(string), log *slog.Logger) {
 	cfg, _, err := load(env)
+	if err == nil { // the proxy would leave an address that works for one that can't
+		err = checkAddress(cfg.Discovery)
+	}
 	if err != nil {
 		log.Error("new configuration not taken", "error", err)
 		return
@@ -73,6 +77,17 @@
 	discovery(cfg.Discovery)
 }
 
+func checkAddress(addr string) error {
+	_, port, err := net.SplitHostPort(addr)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	return nil
+}
+
 type limits struct {
 	Cores    float64 `json:"cores"`
 	MemoryMB float64 `json:"memory_mb"`
--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -65,7 +65,8 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	var told, logged []string
 	log := slog.New(slog.NewTextHandler(writerFunc(func(b []byte) { logged = append(logged, string(b)) }), nil))
-	for _, text := range []string{good, good[:99], "", strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1)} {
+	for _, text := range []string{good, good[:99], "", strings.Replace(good, "127.0.0.1:1", "nowhere", 1),
+		strings.Replace(good, "127.0.0.1:1", "127.0.0.1:port", 1), strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1)} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -74,8 +75,13 @@
 	if len(told) != 2 || told[0] != "127.0.0.1:1" || told[1] != "127.0.0.1:2" {
 		t.Errorf("told %q", told)
 	}
-	if len(logged) != 4 || !strings.Contains(logged[1], "not taken") || !strings.Contains(logged[2], "not taken") {
-		t.Errorf("logged %q", logged)
+	if len(logged) != 6 {
+		t.Fatalf("logged %q", logged)
+	}
+	for _, line := range logged[1:5] {
+		if !strings.Contains(line, "not taken") {
+			t.Errorf("logged %q", line)
+		}
 	}
 }
 
