End the service only when all that was taken has its answer

Seen in the review of the end after SIGTERM, each then forced on sockets: (1) at the cutoff the loop fails what is open, and 20 ms later the server closed all connections, on a busy core ahead of the answers; (2) closing the listener reset connections whose handshake was done; (3) a listener that failed for good ended the process with all it had taken. Why: frontend.shutdown gave answers drainStep after the cutoff (Shutdown with a deadline, then Close); drain and handOver closed the listener without a look at its queue; Run returned the error of serve at once. Ruled out: requests taken after the cutoff (their time is cut to it, the module refuses them at once); SIGTERM twice, during the start or takeOver; hurry leaves the module the old time, but the loop ends each request at the cutoff whatever it does. Mend: one way out. The listener closes when nothing is queued, then nothing accepts; the process ends at a look that finds no connection, or after the cutoff none with a request. SIGKILL bounds it as before. The count of streams goes.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -16,7 +17,7 @@
 	silentGrace = 250 * time.Millisecond
 	justHeard   = 100 * time.Millisecond // see clients.just
 
-	tcpEstablished = 1 // the state of a connection that neither side has closed
+	tcpEstablished = 1 // the state of a connection that neither side has closed; see tcpInfo
 )
 
 // clients accepts the connections of clients and knows which of them carry a request. It goes on accepting
@@ -160,26 +161,32 @@
 	return len(l.conns) - l.silent.Len(), l.idle.Len()
 }
 
-// closeIdle closes the connections that have carried no request for idleFor, and returns how many others there are.
-// One that is newer than newFor, or on which something has just come in, is left alone: closing it would lose a
-// request.
-func (l *clients) closeIdle(idleFor, newFor time.Duration) (busy int) {
+// closeIdle closes the connections that have carried no request for idleFor, and returns how many others there are and
+// how many of these carry one. One that is newer than newFor, or on which something of a request has come, is left alone:
+// closing it would lose that.
+func (l *clients) closeIdle(idleFor, newFor time.Duration) (others, taken int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
 		rested := time.Since(c.since)
-		if time.Unix(0, c.heard.Load()).After(c.since) { // a request whose head comes slowly, for which it has its time
-			busy++
-			continue
-		}
-		if (c.list == l.idle && rested >= idleFor || c.list == l.silent && rested > newFor) && quiet(c) {
+		ripe := c.list == l.idle && rested >= idleFor || c.list == l.silent && rested > newFor
+		if ripe && quiet(c) && !time.Unix(0, c.heard.Load()).After(c.since) {
 			l.remove(c)
 			c.Conn.Close()
-		} else {
-			busy++
+			continue
+		}
+		others++
+		if c.list == nil {
+			taken++
 		}
 	}
-	return busy
+	return others, taken
+}
+
+// queued tells whether connections wait to be accepted: to close the listener would reset them.
+func (l *clients) queued() bool {
+	_, n, err := tcpInfo(l.Listener)
+	return err == nil && n > 0
 }
 
 // Read notes when bytes came.
@@ -236,20 +243,12 @@
 // left tells whether the client has closed its connection or reset it. Unlike a read it sees that behind bytes that
 // nobody has read yet, and it may be asked at any time.
 func (c *clientConn) left() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var info [4]byte // of struct tcp_info, which begins with the connection's state
-	var inner error
-	err = raw.Control(func(fd uintptr) {
-		info, inner = syscall.GetsockoptInet4Addr(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
-	})
-	return err != nil || inner == nil && info[0] != tcpEstablished // closed here, or there
+	state, _, err := tcpInfo(c)
+	return state != tcpEstablished && (err == nil || errors.Is(err, net.ErrClosed))
 }
 
 // CloseWrite lets net/http end its side first, so that a client that is still sending reads its error.
-func (c *clientConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+func (c *clientConn) CloseWrite() error { return c.Conn.(interface{ CloseWrite() error }).CloseWrite() }
 
 // SyscallConn lets quiet look at the socket.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -60,8 +60,8 @@
 	closing  atomic.Bool // each connection ends with its answer
 	duck     atomic.Bool // operators want no clients here: health checks are told
 
-	streams   atomic.Int32 // answers that are passed on as they come
-	succeeded atomic.Bool  // another process of this proxy takes connections
+	succeeded atomic.Bool   // another process of this proxy takes connections
+	served    chan struct{} // closed when nothing is accepted any more
 
 	mu       sync.Mutex     // held while lame duck begins or ends, and once SIGTERM has come
 	stopDuck func()         // ends what empties the proxy; nil when nothing does
@@ -70,7 +70,7 @@
 
 func newFrontend(site *settings.Site, l *loop, most int, log *slog.Logger) *frontend {
 	f := &frontend{site: site, loop: l, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		clients: newClients(nil, most), budget: &budget{}, log: log}
+		clients: newClients(nil, most), budget: &budget{}, log: log, served: make(chan struct{})}
 	longest := int64(0)
 	for _, c := range site.Logic.Classes {
 		longest = max(longest, c.Deadline)
@@ -102,6 +102,7 @@
 
 // serve accepts connections until the listener is closed.
 func (f *frontend) serve() error {
+	defer close(f.served)
 	if err := f.server.Serve(f.clients); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
@@ -207,8 +208,6 @@
 
 // pass gives an answer on as it comes. One that breaks off ends the connection, so that the client can tell.
 func (f *frontend) pass(w http.ResponseWriter, r *http.Request, ans answer) {
-	f.streams.Add(1)
-	defer f.streams.Add(-1)
 	d, err := ans.stream, http.ErrAbortHandler
 	defer func() { d.done <- err }()
 	h := w.Header()
@@ -369,28 +368,22 @@
 		time.Sleep(drainStep)
 	}
 	f.closing.Store(true)
-	f.clients.Close()
-	for f.clients.closeIdle(0, acceptAfter) > 0 && time.Now().Before(cutoff) {
-		time.Sleep(drainStep)
-	}
 	f.shutdown(cutoff)
 }
 
 // handOver ends the service when another process has taken over. New connections go there; what stands in the queue
-// here is still taken, since closing the listener would reset it. Answers close their connections from now on, and
-// those that stand idle are left open while a request may well be on its way to them.
+// here is still taken. Answers close their connections from now on, and those that stand idle are left open while a
+// request may well be on its way to them.
 func (f *frontend) handOver(cutoff time.Time) {
 	told := time.Now()
 	f.closing.Store(true)
 	idleFor := handOverIdle
-	for busy := 1; (busy > 0 || time.Since(told) < acceptAfter) && time.Now().Before(cutoff); time.Sleep(drainStep) {
-		if time.Since(told) >= acceptAfter {
-			f.clients.Close()
-		}
-		if time.Since(told) >= handOverLast {
+	for since := time.Duration(0); since < acceptAfter && time.Now().Before(cutoff); since = time.Since(told) {
+		if since >= handOverLast {
 			idleFor = 0
 		}
-		busy = f.clients.closeIdle(idleFor, acceptAfter)
+		f.clients.closeIdle(idleFor, acceptAfter)
+		time.Sleep(drainStep)
 	}
 	f.shutdown(cutoff)
 }
@@ -441,15 +434,21 @@
 	}
 }
 
-// shutdown ends what is left. Answers that are being passed on go on: to cut them off would lose them, and whoever
-// wants them ended kills the process.
+// shutdown ends what is left: the queue of new connections once it is empty, connections as they fall idle, and at the
+// cutoff those that have brought half a request. What has been taken gets its answer even then: the loop fails it at the
+// cutoff, an answer that is being passed on may take longer, and whoever wants it ended kills the process. No connection
+// comes after the last look, since by then the listener is closed and nothing accepts.
 func (f *frontend) shutdown(cutoff time.Time) {
-	for time.Now().Before(cutoff) && f.clients.count() > 0 || f.streams.Load() > 0 {
-		f.clients.closeIdle(0, acceptAfter)
-		time.Sleep(drainStep)
+	for listening := true; ; time.Sleep(drainStep) {
+		late := !time.Now().Before(cutoff)
+		if listening && (late || !f.clients.queued()) {
+			f.clients.Close()
+			<-f.served
+			listening = false
+		}
+		if others, taken := f.clients.closeIdle(0, acceptAfter); !listening && (others == 0 || late && taken == 0) {
+			break
+		}
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(drainStep))
-	defer cancel()
-	_ = f.server.Shutdown(ctx)
 	_ = f.server.Close()
 }
--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -82,20 +82,6 @@
 	})
 }
 
-// gatedListener holds each connection that it has accepted until the gate lets it through.
-type gatedListener struct {
-	net.Listener
-	gate func(net.Conn)
-}
-
-func (l gatedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err == nil {
-		l.gate(c)
-	}
-	return c, err
-}
-
 // Nothing is sent for a client that has left while its request waited, wherever that was. net/http does not see one
 // that leaves behind bytes which nobody reads, and a request read late was sent before anybody looked.
 func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
@@ -105,12 +91,13 @@
 			b := startBackend(t, says(served, true))
 			left, accepted := make(chan struct{}), make(chan struct{})
 			p := startSite(t, func(p *Proxy) {
-				p.front.clients.Listener = gatedListener{p.front.clients.Listener, func(c net.Conn) {
+				p.front.clients.Listener = gatedListener{Listener: p.front.clients.Listener, gate: func(c net.Conn) net.Conn {
 					<-left
 					for !(&clientConn{Conn: c}).left() {
 						time.Sleep(time.Millisecond)
 					}
 					close(accepted)
+					return c
 				}}
 			}, listText(1, true, listed("a", b.addr, statusServing)))
 			c := connect(t, p)
--- a/internal/proxy/listen.go
+++ b/internal/proxy/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"syscall"
@@ -60,3 +61,31 @@
 	}
 	return inner
 }
+
+// tcpInfo tells the state of a TCP socket and, of one that listens, how many connections wait to be accepted.
+func tcpInfo(s any) (state byte, waiting uint32, err error) {
+	sc, ok := s.(syscall.Conn)
+	if !ok {
+		return 0, 0, errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, 0, err
+	}
+	var info struct { // the beginning of the kernel's struct tcp_info
+		state   byte
+		_       [7]byte
+		_       [4]uint32
+		unacked uint32
+	}
+	err = control(raw, func(fd uintptr) error {
+		size := uint32(unsafe.Sizeof(info))
+		_, _, e := syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
+			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+		if e != 0 {
+			return e
+		}
+		return nil
+	})
+	return info.state, info.unacked, err
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -196,9 +196,10 @@
 			}
 		})
 	}
+	var failed error
 	select {
-	case err := <-served:
-		return err
+	case failed = <-served: // what has been taken is answered all the same
+		p.cfg.Log.Error("no connections are taken any more", "error", failed)
 	case <-ctx.Done():
 	}
 	longest := time.Duration(0)
@@ -217,10 +218,10 @@
 	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff), lastCall) })
 	if p.front.succeeded.Load() {
 		p.front.handOver(cutoff)
-		return nil
+		return failed
 	}
 	p.front.drain(told.Add(time.Duration(servePart*float64(window))), cutoff)
-	return nil
+	return failed
 }
 
 // takeOver waits until a process that starts beside another can serve as well as that one: with a list, and if
