Take a connection for idle by what came of a request, not by when

Seen in the review of idle closes, then forced: a client sends the first byte of a request while the answer before it is still out; net/http reads that byte in advance, the connection falls idle after it, nothing is left to read, and closeIdle closed it with the request begun. Why: closeIdle and evictFrom compared the time of the last read with that of falling idle (clients.go). Mend: the head that is gathered anyway tells whether something of a request has come. A health check with a body, which nobody reads, ends its connection, so that its bytes are not taken for a request. Test: TestOneByteOfARequestIsNoIdleConnection fails without it.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -102,7 +102,7 @@
 	for e := from.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*clientConn)
 		heard := time.Unix(0, c.heard.Load())
-		if !(heard.After(c.since) && now.Sub(heard) < l.just) && quiet(c) {
+		if !(c.head.begun() && now.Sub(heard) < l.just) && quiet(c) {
 			l.remove(c)
 			c.Conn.Close()
 			return true
@@ -170,7 +170,7 @@
 	for _, c := range l.conns {
 		rested := time.Since(c.since)
 		ripe := c.list == l.idle && rested >= idleFor || c.list == l.silent && rested > newFor
-		if ripe && quiet(c) && !time.Unix(0, c.heard.Load()).After(c.since) {
+		if ripe && quiet(c) && !c.head.begun() {
 			l.remove(c)
 			c.Conn.Close()
 			continue
@@ -234,6 +234,13 @@
 	}
 }
 
+// begun tells whether something of a request has come that has not been taken.
+func (h *head) begun() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.bytes) > 0 || h.ended
+}
+
 func (h *head) isSound() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -8,6 +8,18 @@
 	"time"
 )
 
+// one is the one connection of a client that the proxy has.
+func (p *running) one(t *testing.T) *clientConn {
+	t.Helper()
+	p.front.clients.mu.Lock()
+	defer p.front.clients.mu.Unlock()
+	for _, c := range p.front.clients.conns {
+		return c
+	}
+	t.Fatal("no connection of a client")
+	return nil
+}
+
 // At the cutoff the loop fails what is still open, and 20 ms later the connections were closed, on a busy core ahead of
 // the answers. Here the cutoff has passed long before the answer comes.
 func TestWhatHasBeenTakenIsAnsweredAfterTheCutoff(t *testing.T) {
@@ -29,6 +41,33 @@
 	wait(t, "end of the service beside half a head", ended)
 }
 
+// The first byte of the next request may be read while the answer before it is still out; then nothing is left to read
+// on the connection, and it has heard nothing since it fell idle.
+func TestOneByteOfARequestIsNoIdleConnection(t *testing.T) {
+	release := make(chan struct{})
+	p, b := serving(t, holds(release))
+	c := connect(t, p)
+	c.send(t, look("h", 8000))
+	waitUntil(t, func() bool { return b.requests.Load() == 1 })
+	c.send(t, look("2", 8000)[:1])
+	conn := p.one(t)
+	waitUntil(t, func() bool {
+		conn.head.mu.Lock()
+		defer conn.head.mu.Unlock()
+		return len(conn.head.bytes) == 1
+	})
+	close(release)
+	c.answer(t)
+	waitUntil(t, func() bool { _, free := p.front.clients.lines(); return free == 1 })
+	if others, taken := p.front.clients.closeIdle(0, 0); others != 1 || taken != 0 {
+		t.Errorf("%d others, %d taken", others, taken)
+	}
+	c.send(t, look("2", 8000)[1:])
+	if resp, _ := c.answer(t); resp.StatusCode != 200 {
+		t.Errorf("got %s", resp.Status)
+	}
+}
+
 // gatedConn holds what it has read until the gate lets it through.
 type gatedConn struct {
 	*net.TCPConn
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -116,6 +116,9 @@
 		if c, ok := r.Context().Value(clientKey{}).(*clientConn); ok && r.ContentLength == 0 {
 			c.head.next()
 		}
+		if r.ContentLength != 0 { // what follows a body that nobody reads is no request
+			w.Header().Set("Connection", "close")
+		}
 		f.health(w)
 		return
 	}
