Refuse a request with no time left instead of calling it malformed

Why: parse took 0 for no time at all (frontend.go). Now the module refuses it at once and the connection stays. Test: TestNoTimeLeftIsNoFault fails without it.

--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -205,3 +205,18 @@
 		t.Errorf("Run ended with %v", err)
 	}
 }
+
+// A caller with less than a millisecond left says 0. That is no fault of its: it is refused, and its connection stays.
+func TestNoTimeLeftIsNoFault(t *testing.T) {
+	p, b := serving(t, says(served, true))
+	c := connect(t, p)
+	for _, id := range []string{"1", "2"} {
+		c.send(t, look(id, 0))
+		if resp, _ := c.answer(t); resp.StatusCode != 503 || resp.Close {
+			t.Errorf("got %s, close %v", resp.Status, resp.Close)
+		}
+	}
+	if n := b.requests.Load(); n != 0 {
+		t.Errorf("%d requests were sent", n)
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -271,7 +271,7 @@
 		return bad(http.StatusBadRequest, "Idempotency-Key does not fit the class")
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64)
-	if err != nil || ms <= 0 {
+	if err != nil || ms < 0 { // a caller may have less than one left
 		return bad(http.StatusBadRequest, "Request-Timeout-Ms is no time")
 	}
 	wait := min(time.Duration(k.Deadline)*time.Microsecond, time.Duration(min(ms, 1e9))*time.Millisecond)
