Find a silent list in time where it is asked for, and ask once at a start

Why: 10 s of wait, patience, up to 0.5 s until the module asks again and a call that waits its turn came to 12.8 s, where 12 s and the grace are allowed (discovery.go: askHold, askPatience). All proxies found the silence at once, and the trace shows their calls waiting up to 1 s. At the start each made two calls, the whole list and a watch, and some were turned away. Ruled out: a loop that is behind (answers are applied at once); shorter waits as a load (a watch that goes on costs no turn: 0.13 calls a second for each proxy). Mend: a watch waits 2 to 3 s, spread, and is overdue 0.5 s later; the whole list is asked for at once and given 3 s, as one given up would wait again. A start that knows a version watches from it. Test: TestASilentListThatIsAskedForIsFoundInTime.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -27,7 +27,7 @@
 	// if that is later. Where the list is pushed, asking costs nothing; where it is asked, all proxies share one
 	// service.
 	pushHold = 2 * time.Second
-	askHold  = 10 * time.Second
+	askHold  = 3 * time.Second // and down to two thirds of it, or all proxies would find a silence at once
 
 	// An answer is overdue so long after a watch's wait, and the whole list after wholePatience. Where the list is
 	// pushed an agent on this machine answers at once or, while discovery is down, not at all, and what it learns when
@@ -35,8 +35,9 @@
 	// be one at any time but for moments well within the grace of a drain.
 	pushPatience  = 100 * time.Millisecond
 	wholePatience = 150 * time.Millisecond
-	wholeMost     = time.Second            // where no version is known to watch from, in the end
-	askPatience   = time.Second            // where calls wait in turn: a failed one is repeated up to 0.5 s later
+	wholeMost     = time.Second // where no version is known to watch from, in the end
+	askPatience   = 500 * time.Millisecond
+	askWhole      = 3 * time.Second        // calls wait in turn, and one given up would have to wait again
 	retryFirst    = 50 * time.Millisecond  // after a call that failed at once
 	retryMost     = 100 * time.Millisecond // at most
 	maxList       = 4 << 20
@@ -95,7 +96,8 @@
 	addr     string
 	known    int64 // the version of the list that the proxy has; -1 if it has none from this address
 	hold     time.Duration
-	patience time.Duration // beyond hold
+	spread   time.Duration // of holds, downwards
+	patience time.Duration // beyond a hold
 	whole    time.Duration // for the whole list
 	log      *slog.Logger
 	client   *http.Client
@@ -107,22 +109,23 @@
 type listNews struct{ list *List }
 
 func newDiscovery(addr string, known int64, subscribe bool, log *slog.Logger, lists chan<- listNews, asked <-chan struct{}) *discovery {
-	hold, patience, whole := pushHold, pushPatience, wholePatience
+	hold, spread, patience, whole := pushHold, time.Duration(0), pushPatience, wholePatience
 	if subscribe {
-		hold, patience, whole = askHold, askPatience, askPatience
+		hold, spread, patience, whole = askHold, askHold/3, askPatience, askWhole
 	}
-	return &discovery{addr: addr, known: known, hold: hold, patience: patience, whole: whole, log: log, lists: lists, asked: asked,
+	return &discovery{addr: addr, known: known, hold: hold, spread: spread, patience: patience, whole: whole, log: log,
+		lists: lists, asked: asked,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DisableCompression: true}}}
 }
 
 // run watches until the context ends. It begins with the whole list, and so it does after an answer that makes no sense
-// or breaks off: the version may be in doubt then. The next watch follows its answer at once, lest changes in between
+// or breaks off: the version may be in doubt then. Where calls wait in turn and a version is known, one call has to do. The next watch follows its answer at once, lest changes in between
 // count as told late. Where the list is pushed, it also follows a silence at once and from the version that the proxy
-// has: a call for the whole list would not outlast the silence. With subscribe the module says when to ask, after a
-// failure and, with first, at the start.
+// has: a call for the whole list would not outlast the silence. With subscribe the whole list follows it at once, and
+// the module says when to ask after any other failure and, with first, at the start.
 func (d *discovery) run(ctx context.Context, subscribe, first bool) {
 	defer d.client.CloseIdleConnections()
-	index, whole, wait := d.known, true, retryFirst
+	index, whole, wait := d.known, !subscribe || d.known < 0, retryFirst
 	for subscribed := !first; ctx.Err() == nil; {
 		if subscribe && !subscribed {
 			select {
@@ -153,8 +156,9 @@
 		if !errors.Is(err, errBusy) {
 			whole = index < 0 || subscribe || !silent
 		}
-		subscribed = false
+		subscribed = subscribe && silent && from >= 0
 		switch {
+		case subscribed:
 		case subscribe:
 			d.tell(ctx, listNews{}) // the module says when to ask again
 		case !silent:
@@ -185,8 +189,9 @@
 func (d *discovery) call(ctx context.Context, index int64) (*List, error) {
 	u, patience := "http://"+d.addr+"/catalog/members", d.whole
 	if index >= 0 {
-		u += "?from=" + strconv.FormatInt(index, 10) + "&hold_ms=" + strconv.FormatInt(d.hold.Milliseconds(), 10)
-		patience = d.hold + d.patience
+		hold := d.hold - rand.N(d.spread+1)
+		u += "?from=" + strconv.FormatInt(index, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
+		patience = hold + d.patience
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -537,6 +537,37 @@
 	}
 }
 
+// Where the list is asked for, a watch that fell silent was found so after 11.5 s, up to 0.5 s later a call was made, and
+// that waited its turn: together more than the 12 s after which what it missed counts as told. Of a shorter watch it
+// counts as told 6 s after the silence. A start that knows a version asks once, not for the whole list and then again.
+func TestASilentListThatIsAskedForIsFoundInTime(t *testing.T) {
+	a := startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	site, err := settings.Decode([]byte(strings.NewReplacer(`"automatic"`, `"subscribe"`,
+		`"cold_us"`, `"ask_every_us":10000000,"cold_us"`).Replace(siteText)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	known, err := ParseList([]byte(listText(5, true, listed("a", a.addr, statusServing))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	start(t, Config{Listen: "127.0.0.1:0", Discovery: d.addr, Seed: 7, Sockets: 200, Site: site, Known: known,
+		Log: slog.New(slog.DiscardHandler)})
+	got := wait(t, "call", d.calls)
+	opened := time.Now()
+	var ms int64
+	if _, err := fmt.Sscanf(got, "from=5&hold_ms=%d", &ms); err != nil || ms > 4000 {
+		t.Errorf("first asked %q", got)
+	}
+	if got := wait(t, "call", d.calls); got != "" {
+		t.Errorf("after the silence asked %q", got)
+	}
+	if took := time.Since(opened); took > 5*time.Second {
+		t.Errorf("asked %v after the watch fell silent", took)
+	}
+}
+
 // Discovery went down under all proxies at once, and each asked again at the same instants.
 func TestRetriesAreSpread(t *testing.T) {
 	seen := map[time.Duration]bool{}
