--- a/regress.sh
+++ b/regress.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Plays the operators' days and then the earlier ones, each by its quick score, one after the other (some ten minutes on
-# eight cores, which nothing else may use). Fails on a broken rule, a crash, a failed start or a failed gate; a score
+# Plays the operators' days, the fleet's at close range (brink, on a seed that it prints; SEED=N plays another time the
+# same) and then the earlier ones, each by its quick score, one after the other (some ten minutes on eight cores, which
+# nothing else may use). Fails on a broken rule, a crash, a failed start or a failed gate; a score
 # fails nothing. The journal that the plays leave is to be committed as it is.
 set -u
 cd "$(dirname "$0")"
@@ -30,6 +31,8 @@
 play 'operators'"'"' days' "$kit/more/ops/bin/lbreal" score "$site" --quick
 play 'earlier days on the operators'"'"' bench' "$kit/more/ops/bin/lbreal" score "$site" --panel later --quick
 play 'fleet' "$kit/more/mass/bin/lbreal" score "$site" --quick
+seed=${SEED:-$((RANDOM * 32768 + RANDOM))}
+play "fleet at close range, seed $seed" "$kit/more/mass/bin/lbreal" score "$site" --panel brink --seed "$seed"
 play 'real nodes' "$kit/real/bin/lbreal" score "$site" --quick
 play 'simulator' "$kit/bin/lbsim" score "$site" --quick
 if [ ${#failed[@]} -gt 0 ]; then
