Send no repeat once its window is over: the window travels with the attempt

Ruled out: another group (same server each time), streamed bodies (none), a reused connection (the repeat's was new). At fault: mayGo asked for the window when it decided; attempt.due did not, and neither dial nor write ended with it. Now Send carries the time lapse (first attempt that may have run, from its decision, + window - 20 ms on the way); dial and write end there, due asks right before the first byte, and what was not sent is Moot, so that the module answers at once.

--- a/cmd/simhost/serve_test.go
+++ b/cmd/simhost/serve_test.go
@@ -159,7 +159,7 @@
 	enc := json.NewEncoder(&out)
 	enc.SetEscapeHTML(false)
 	h := &host{who: "proxy_1", out: enc}
-	h.Send("aa", "backend-x", 7)
+	h.Send("aa", "backend-x", 7, 9)
 	h.Refuse("aa", 250000)
 	h.Fail("aa")
 	h.SetTimer(500000, "sweep")
--- a/cmd/simhost/wire.go
+++ b/cmd/simhost/wire.go
@@ -163,7 +163,7 @@
 // An error of writing shows again when the batch is flushed, so it is not looked at here.
 func (h *host) write(a action) { _ = h.out.Encode(a) }
 
-func (h *host) Send(id, server string, timeout int64) {
+func (h *host) Send(id, server string, timeout, _ int64) {
 	h.write(action{Place: &place{h.who, id, timeout, server}})
 }
 
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -355,6 +355,7 @@
 	number   int
 	sent     int64 // when the module decided, or when the last byte of a streamed request went out
 	deadline time.Time
+	lapse    time.Time // a repeat that reached the backend later than this would run again; zero for none
 	pool     *backends
 	backend  *backend
 	addr     string
@@ -400,7 +401,7 @@
 	if c == nil {
 		var err error
 		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil || errors.Is(err, errNoSockets) {
+			if a.ctx.Err() != nil || a.lapsed() || errors.Is(err, errNoSockets) {
 				return result{status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
 			}
 			return result{status: logic.ConnectFailed}
@@ -419,7 +420,7 @@
 // it is asked again right before the first byte. What has ended, drained or gone by then gets nothing new, and nothing
 // is sent for a client that has left.
 func (a *attempt) due() (result, bool) {
-	if a.ctx.Err() != nil || a.late() || !a.pool.current(a.backend, a.epoch) {
+	if a.ctx.Err() != nil || a.late() || a.lapsed() || !a.pool.current(a.backend, a.epoch) {
 		return result{status: logic.Moot}, false
 	}
 	if a.req.left() {
@@ -430,8 +431,20 @@
 
 func (a *attempt) late() bool { return !time.Now().Before(a.deadline) }
 
+// lapsed tells whether it is too late for a repeat: its last byte would reach the backend when that may have forgotten
+// the attempt before, and run again.
+func (a *attempt) lapsed() bool { return !a.lapse.IsZero() && !time.Now().Before(a.lapse) }
+
+// by is the end of the time for what goes out, where that has so long otherwise.
+func (a *attempt) by(due time.Time) time.Time {
+	if !a.lapse.IsZero() && a.lapse.Before(due) {
+		return a.lapse
+	}
+	return due
+}
+
 func (a *attempt) dial() (*conn, error) {
-	ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
+	ctx, cancel := context.WithDeadline(a.ctx, a.by(a.deadline))
 	defer cancel()
 	return a.pool.dial(ctx, a.backend, a.addr, a.epoch)
 }
@@ -445,7 +458,8 @@
 			keep = false
 		}
 	}()
-	_ = c.SetDeadline(a.deadline)
+	_ = c.SetReadDeadline(a.deadline)
+	_ = c.SetWriteDeadline(a.by(a.deadline))
 	var head []byte
 	if a.req.rest == nil {
 		var err error
@@ -498,7 +512,7 @@
 		}
 		early <- err == nil
 	}()
-	err := a.out(io.MultiReader(bytes.NewReader(a.req.body), u)).Write(stalling{c, stopped})
+	err := a.out(io.MultiReader(bytes.NewReader(a.req.body), u)).Write(stalling{a, c, stopped})
 	now := time.Now()
 	if err == nil {
 		a.deadline = a.uploaded(now)
@@ -525,12 +539,13 @@
 
 // stalling writes to a backend as long as it takes something in time.
 type stalling struct {
+	a       *attempt
 	c       *conn
 	stopped *atomic.Bool
 }
 
 func (s stalling) Write(b []byte) (int, error) {
-	_ = s.c.SetWriteDeadline(time.Now().Add(streamStall))
+	_ = s.c.SetWriteDeadline(s.a.by(time.Now().Add(streamStall)))
 	if s.c.gone.Load() || s.stopped.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -371,7 +371,7 @@
 }
 
 // Send implements logic.Host.
-func (l *loop) Send(id, server string, timeout int64) {
+func (l *loop) Send(id, server string, timeout, lapse int64) {
 	r := l.reqs[id]
 	if r == nil {
 		l.log.Error("send for an unknown request", "id", id)
@@ -383,6 +383,9 @@
 		until = min(until, now+timeout)
 	}
 	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.time(until), pool: l.pool}
+	if lapse != 0 {
+		a.lapse = l.clock.time(lapse)
+	}
 	r.sends++
 	var ok bool
 	a.backend, a.addr, a.epoch, ok = l.pool.find(server)
--- a/logic/api.go
+++ b/logic/api.go
@@ -154,8 +154,9 @@
 // Host carries out what a Balancer decides. Its methods are called from inside event methods, are to
 // return at once and must not call back into the Balancer.
 type Host interface {
-	// Send passes a request to a server and gives the attempt up after timeout; 0 is the client's time.
-	Send(id, server string, timeout int64)
+	// Send passes a request to a server and gives the attempt up after timeout; 0 is the client's time. Its last byte
+	// has to reach the server before the time lapse, or nothing may be sent of it at all; 0 sets no such time.
+	Send(id, server string, timeout, lapse int64)
 	// Refuse ends a request unserved; the client may safely come again, after the given time.
 	Refuse(id string, after int64)
 	// Fail ends a request without any promise.
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -9,7 +9,7 @@
 // printer is a Host that prints what it is told; a proxy would act on it.
 type printer struct{}
 
-func (printer) Send(id, server string, timeout int64) {
+func (printer) Send(id, server string, timeout, _ int64) {
 	fmt.Println("send", id, "to", server, "for", timeout)
 }
 func (printer) Refuse(id string, after int64)      { fmt.Println("refuse", id) }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,6 +57,8 @@
 
 	hintPart = 0.5 // of the aim: the longest hint
 
+	onTheWay = second / 50 // a repeat counts when its last byte has come: writing it and the way take less
+
 	// Of connections that can't become more, one in so many is kept free, and this many at least, if they are
 	// not more than half. A client that finds none free finds nobody, and takes this copy for gone; a refused
 	// one has its connection back at once. This serves a copy that is about to end, and any whose clients
@@ -398,7 +400,8 @@
 	if s == nil {
 		return false
 	}
-	a := &attempt{srv: s, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
+	lapse := b.lapse(q)
+	a := &attempt{srv: s, begun: now, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
 	q.out++
 	a.owed, s.owed = s.owed, false
@@ -407,7 +410,7 @@
 	if !q.Streamed {
 		b.enterCall(q, a)
 	}
-	h.Send(q.ID, s.ID, b.timeout(now, q))
+	h.Send(q.ID, s.ID, b.timeout(now, q), lapse)
 	return true
 }
 
@@ -525,6 +528,17 @@
 	return coldMargin * (b.s.StartCapacity + (1-b.s.StartCapacity)*part)
 }
 
+// lapse is by when a repeat has to be on its way: later it might reach servers that have forgotten the first
+// attempt that may have run. It is 0 while none may have run, and where repeats are not told by their key.
+func (b *Balancer) lapse(q *request) int64 {
+	k := b.s.Classes[q.Class]
+	i := slices.IndexFunc(q.attempts, func(a *attempt) bool { return a.mayRun }) // they are in order
+	if i < 0 || k.Repeat != Keyed {
+		return 0
+	}
+	return q.attempts[i].begun + k.Window - onTheWay
+}
+
 // mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
 // keyed one only to the group that drops its repeats, while that remembers it.
 func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
@@ -533,7 +547,7 @@
 		if !a.mayRun || k.Repeat == Safe {
 			continue
 		}
-		if k.Repeat == Unsafe || now-a.sent >= k.Window ||
+		if k.Repeat == Unsafe || now >= b.lapse(q) ||
 			k.Group == GroupZone && a.zone != s.Zone || k.Group == GroupCell && a.cell != s.Cell {
 			return false
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -26,7 +26,7 @@
 	r.lines = append(r.lines, fmt.Sprintf(format, a...))
 }
 
-func (r *recorder) Send(id, server string, timeout int64) {
+func (r *recorder) Send(id, server string, timeout, _ int64) {
 	r.note("send %s %s %d", id, server, timeout)
 	r.sends = append(r.sends, sent{id, server, timeout})
 }
--- a/logic/random_test.go
+++ b/logic/random_test.go
@@ -52,7 +52,7 @@
 	c.faults = append(c.faults, fmt.Sprintf("at %d: ", c.now-start)+fmt.Sprintf(format, a...))
 }
 
-func (c *checker) Send(id, server string, timeout int64) {
+func (c *checker) Send(id, server string, timeout, lapse int64) {
 	c.lines = append(c.lines, fmt.Sprintf("%d send %s %s %d", c.now, id, server, timeout))
 	k := c.reqs[id]
 	if k == nil || k.closed {
@@ -71,7 +71,7 @@
 		c.fault("%s sent more than %d times", id, c.set.MaxAttempts)
 	}
 	for _, t := range k.tries {
-		c.checkRepeat(k, t, s)
+		c.checkRepeat(k, t, s, lapse)
 	}
 	if len(k.tries) > 0 {
 		c.checkBudget(id)
@@ -119,7 +119,7 @@
 	}
 }
 
-func (c *checker) checkRepeat(k *book, earlier *try, to Server) {
+func (c *checker) checkRepeat(k *book, earlier *try, to Server, lapse int64) {
 	class := c.set.Classes[k.r.Class]
 	if !earlier.done {
 		c.fault("%s has two attempts out", k.r.ID)
@@ -132,6 +132,9 @@
 	if class.Repeat == Unsafe || !sameGroup || c.now-earlier.sent > class.Window {
 		c.fault("rule 2: %s of class %d sent again after it may have run", k.r.ID, k.r.Class)
 	}
+	if lapse == 0 || lapse > earlier.sent+class.Window {
+		c.fault("rule 2: %s may be sent again until %d, its window ends at %d", k.r.ID, lapse, earlier.sent+class.Window)
+	}
 }
 
 func (c *checker) Refuse(id string, after int64) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -134,8 +134,9 @@
 
 type attempt struct {
 	srv    *server
-	sent   int64
-	zone   int // as listed at the time of sending
+	begun  int64 // when it was decided on
+	sent   int64 // the same, or when the last byte of a streamed request had gone out
+	zone   int   // as listed at the time of sending
 	cell   int
 	slow   bool // counted as slow before its end
 	mayRun bool // outstanding, or ended without proof that it never ran
