Send no repeat to a backend that the list has moved to another group since

The epoch now turns with zone and group; TestNothingIsSentAfterADialThatTookTooLong has both and fails without. TestARequestThatWasNotWrittenWholeNeverRan now breaks off a real connection in place of a pipe, which nothing can look at; as strict.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -63,10 +63,12 @@
 type backend struct {
 	name    string
 	addr    string
+	zone    string
+	group   int
 	started int64
 	serving bool    // as the list says
 	ready   bool    // that, and operators have not taken it out
-	epoch   int     // goes up when what is said of it changes: drained, gone, restarted, moved or taken out
+	epoch   int     // goes up when what is said of it changes: drained, gone, restarted, moved, regrouped or taken out
 	idle    []*conn // the most recently used last
 }
 
@@ -128,8 +130,10 @@
 			b = &backend{name: e.Name}
 			p.byName[e.Name] = b
 		}
-		if serving := e.Status == statusServing; b.addr != e.Address || b.started != e.SinceMs || b.serving != serving {
+		if serving := e.Status == statusServing; b.addr != e.Address || b.started != e.SinceMs || b.serving != serving ||
+			b.zone != e.Zone || b.group != e.Group {
 			b.addr, b.started, b.serving, b.ready = e.Address, e.SinceMs, serving, serving && !p.out[e.Name]
+			b.zone, b.group = e.Zone, e.Group
 			p.turn(b)
 		}
 		if e.Status == statusDeleted {
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -433,6 +434,16 @@
 			e.SinceMs = 7
 			p.apply(false, []endpoint{e})
 		},
+		"in another zone": func(p *backends, a *attempt) {
+			e := entry("a", a.addr, statusServing)
+			e.Zone = "b"
+			p.apply(false, []endpoint{e})
+		},
+		"in another group": func(p *backends, a *attempt) {
+			e := entry("a", a.addr, statusServing)
+			e.Group = 7
+			p.apply(false, []endpoint{e})
+		},
 		"stopped": func(_ *backends, a *attempt) { a.stop() },
 		"late":    func(_ *backends, a *attempt) { a.deadline = time.Now() },
 	} {
@@ -487,13 +498,21 @@
 	}
 }
 
+// shortConn takes five bytes and no more.
+type shortConn struct{ *net.TCPConn }
+
+func (c shortConn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b[:5])
+	return n, cmp.Or(err, net.ErrClosed)
+}
+
 // A write that breaks off before the last byte proves that the call never ran; one that ended does not.
 func TestARequestThatWasNotWrittenWholeNeverRan(t *testing.T) {
-	p := poolWith(4, "127.0.0.1:1")
-	p.dialer = func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		go func() { _, _ = io.ReadFull(far, make([]byte, 5)); far.Close() }()
-		return near, nil
+	p := poolWith(4, startBackend(t, hang(t)).addr)
+	dial := p.dialer
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		return shortConn{c.(*net.TCPConn)}, err
 	}
 	if res := newAttempt(p, "a", patience).run(); res.status != logic.ConnectFailed {
 		t.Errorf("got %v", res.status)
