Claim that an attempt never ran only where the wire proves it

An error of a client's behind its body's told length was 'not written whole' of what had gone out whole. At fault: exchange did not look at the socket again; send took a word for the answer once the client's part had ended, and every error of http.Request.Write for a missing last byte; read believed any Not-Started. Now first() looks at the attempt and the socket right before the first byte, and another connection is taken; after a word nothing more is written; what is in doubt may have run. Found sound: the first byte of a slow body goes out at once.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -369,6 +370,8 @@
 	uploaded func(time.Time) time.Time // tells when the last byte of a streamed request went out; returns the new deadline
 	begin    func(*download)           // hands an answer over that is passed on as it comes
 
+	spoken atomic.Bool // the backend has said something, while the request was passed on as it came
+
 	began bool // the loop's: the answer is being passed on
 }
 
@@ -377,6 +380,7 @@
 	status  logic.Status
 	fault   int    // the request makes no sense, whoever gets it, or its client has broken off: the answer; else 0
 	left    bool   // the client had left before anything was sent
+	unused  bool   // the connection had ended or said something before anything was sent on it
 	spent   bool   // a part of the request's body is gone
 	body    []byte // of a backend's 200
 	content string // and its Content-Type
@@ -398,26 +402,45 @@
 }
 
 func (a *attempt) try() result {
-	if res, ok := a.due(); !ok {
-		return res
-	}
-	c := a.pool.reuse(a.backend, a.epoch)
-	if c == nil {
-		var err error
-		if c, err = a.dial(); err != nil {
-			if a.ctx.Err() != nil || a.lapsed() || errors.Is(err, errNoSockets) {
-				return result{status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
+	for {
+		if res, ok := a.due(); !ok {
+			return res
+		}
+		c := a.pool.reuse(a.backend, a.epoch)
+		kept := c != nil
+		if !kept {
+			var err error
+			if c, err = a.dial(); err != nil {
+				if a.ctx.Err() != nil || a.lapsed() || errors.Is(err, errNoSockets) {
+					return result{status: logic.Moot} // stopped before anything was sent, or no fault of the backend's
+				}
+				return result{status: logic.ConnectFailed}
 			}
-			return result{status: logic.ConnectFailed}
+		}
+		res, keep := a.exchange(c)
+		if keep {
+			a.pool.keep(c)
+		} else {
+			a.pool.drop(c)
+		}
+		if !res.unused || !kept {
+			return res
 		}
 	}
-	res, keep := a.exchange(c)
-	if keep {
-		a.pool.keep(c)
-	} else {
-		a.pool.drop(c)
+}
+
+// first is the last look, right before the first byte: whether the attempt may still begin, on a connection that is open
+// and on which nothing has been said. What has been said answers nothing of this request, and could be taken for its
+// answer once that is out.
+func (a *attempt) first(c *conn) (result, bool) {
+	if res, ok := a.due(); !ok {
+		return res, false
 	}
-	return res
+	if !quiet(c.Conn) {
+		return result{status: logic.ConnectFailed, unused: true}, false
+	}
+	c.used = true
+	return result{}, true
 }
 
 // due tells whether the attempt may still begin; if not, with what it ends. A dial takes time, and so does a busy core:
@@ -471,16 +494,15 @@
 			return result{status: logic.Moot}, true
 		}
 	}
-	if res, ok := a.due(); !ok { // the last look before the first byte
-		return res, true
-	}
-	c.used = true
 	var written time.Time
 	if a.req.rest != nil {
 		if res, ok := a.send(c); !ok {
-			return res, false
+			return res, !c.used && !res.unused
 		}
 	} else {
+		if res, ok := a.first(c); !ok {
+			return res, !res.unused
+		}
 		written = time.Now()
 		if _, err := c.Write(head); err != nil {
 			// The last byte was not written, so the backend cannot have begun.
@@ -505,33 +527,34 @@
 // send passes a request on while its client writes it. ok tells whether an answer is to be read: all of the request
 // has gone out. Before that a backend can only turn it away.
 func (a *attempt) send(c *conn) (res result, ok bool) {
-	u := a.req.rest
-	early, stopped := make(chan bool, 1), new(atomic.Bool)
+	w := &stalling{a: a, c: c, said: make(chan bool, 1), none: result{status: logic.Moot}}
 	_ = c.SetReadDeadline(time.Time{})
-	go func() {
-		_, err := c.r.Peek(1)
-		if err == nil && !u.ended.Load() { // an early word: no more of the request is wanted
-			stopped.Store(true)
-			_ = c.SetWriteDeadline(time.Unix(1, 0))
-		}
-		early <- err == nil
-	}()
-	err := a.out(io.MultiReader(bytes.NewReader(a.req.body), u)).Write(stalling{a, c, stopped})
+	err := a.out(io.MultiReader(bytes.NewReader(a.req.body), a.req.rest)).Write(w)
 	now := time.Now()
+	if !c.used {
+		return w.none, false
+	}
 	if err == nil {
 		a.deadline = a.uploaded(now)
 		_ = c.SetDeadline(a.deadline)
 		if a.ctx.Err() != nil {
 			c.cut()
 		}
-		<-early // the answer, or the end of the wait for it
+		<-w.said              // the answer, or the end of the wait for it
+		if w.stopped.Load() { // too late: the request is whole, and that word was not the answer to it
+			return result{status: logic.Reset}, false
+		}
 		return res, true
 	}
 	_ = c.SetReadDeadline(now.Add(earlyLeft)) // it may have said why it took no more
 	if a.ctx.Err() != nil {
 		c.cut()
 	}
-	if said := <-early; !said || a.ctx.Err() != nil {
+	said := <-w.said
+	if !w.short && a.req.rest.complete() { // nothing proves that the last byte has not gone out
+		return result{status: logic.Reset}, false
+	}
+	if !said || a.ctx.Err() != nil {
 		return result{status: logic.ConnectFailed}, false
 	}
 	res, _, err = a.read(c)
@@ -541,21 +564,50 @@
 	return res, false
 }
 
-// stalling writes to a backend as long as it takes something in time.
+// stalling writes a request to a backend as long as it takes something in time and says nothing.
 type stalling struct {
 	a       *attempt
 	c       *conn
-	stopped *atomic.Bool
+	none    result      // how the attempt ends where nothing has gone out
+	said    chan bool   // once something has: whether the backend has said something, or nothing in time
+	stopped atomic.Bool // it did before all had gone out: no more of the request is wanted
+	short   bool        // a write did not take all
 }
 
-func (s stalling) Write(b []byte) (int, error) {
+func (s *stalling) Write(b []byte) (n int, err error) {
 	_ = s.c.SetWriteDeadline(s.a.by(time.Now().Add(streamStall)))
+	if !s.c.used { // its client may have taken its time until here
+		var ok bool
+		if s.none, ok = s.a.first(s.c); !ok {
+			return 0, errNotBegun
+		}
+		go s.listen()
+	}
+	if s.a.spoken.Load() {
+		s.stopped.Store(true)
+	}
 	if s.c.gone.Load() || s.stopped.Load() {
-		return 0, os.ErrDeadlineExceeded
+		err = os.ErrDeadlineExceeded
+	} else {
+		n, err = s.c.Write(b)
+	}
+	s.short = s.short || n < len(b)
+	return n, err
+}
+
+// listen waits for the backend's word.
+func (s *stalling) listen() {
+	_, err := s.c.r.Peek(1)
+	s.a.spoken.Store(err == nil)
+	if err == nil && !s.a.req.rest.ended.Load() {
+		s.stopped.Store(true)
+		_ = s.c.SetWriteDeadline(time.Unix(1, 0))
 	}
-	return s.c.Write(b)
+	s.said <- err == nil
 }
 
+var errNotBegun = errors.New("nothing may be sent any more")
+
 var errNoAnswer = errors.New("no answer")
 
 // encode writes the whole request into one buffer, so that one write tells whether its last byte went out.
@@ -594,6 +646,9 @@
 			if twoFramings(b[:end]) {
 				return errors.New("two framings")
 			}
+			if len(statusLine.FindAllIndex(b[:end], 2)) > 1 { // one head broke off, and another went on in its place
+				return errors.New("two heads in one")
+			}
 			return nil
 		}
 		if err != nil { // also a head that does not end
@@ -603,6 +658,8 @@
 	}
 }
 
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]\b`)
+
 // twoFramings tells whether a head says in two ways where its body ends.
 func twoFramings(head []byte) bool {
 	h := bytes.ToLower(head)
@@ -648,7 +705,8 @@
 	case http.StatusOK:
 		return result{status: logic.OK, body: body, content: resp.Header.Get("Content-Type")}, keep, nil
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("Not-Started") == "1" {
+		// With anything behind it the answer is not one that can be believed.
+		if resp.Header.Get("Not-Started") == "1" && c.r.Buffered() == 0 {
 			return result{status: logic.FullUp}, keep, nil
 		}
 	}
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -133,6 +133,13 @@
 	return u.broken
 }
 
+// complete tells whether as much has come as was told to come.
+func (u *upload) complete() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.taken == u.length
+}
+
 // drain reads what a client still writes after its answer has been given: a close would reset what it has not read.
 func (u *upload) drain() {
 	if u.ended.Load() || u.control.Flush() != nil {
--- a/internal/proxy/repeat_test.go
+++ b/internal/proxy/repeat_test.go
@@ -127,3 +127,136 @@
 	return &upload{from: bytes.NewReader(body), length: int64(len(body)), over: make(chan struct{}),
 		control: http.NewResponseController(httptest.NewRecorder()), start: time.Now().Add(patience)}
 }
+
+// strays are words of a backend that answer nothing that it was asked, but say that something never ran.
+var strays = map[string]string{
+	"an answer":   "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n",
+	"another":     "HTTP/1.1 504 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n",
+	"half a line": "HTTP/1.1 503 No\r\nNot-Started: 1\r\nX-Rest: ",
+}
+
+// What a backend says on a connection after it was taken for the next request, and before that is written, is not the
+// answer to it: taken for one, it would say that a request never ran which does, and it would be sent again.
+func TestAStrayAnswerSaysNothingOfTheNextRequest(t *testing.T) {
+	for name, stray := range strays {
+		for how, streamed := range map[string]bool{"held": false, "streamed": true} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				theirs, ours := make(chan io.Writer, 2), make(chan net.Conn, 2)
+				b := startBackend(t, func(w io.Writer, _ *http.Request, _ int) bool {
+					theirs <- w
+					_, _ = io.WriteString(w, served)
+					return true
+				})
+				p := poolWith(4, b.addr)
+				dial := p.dialer
+				p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					c, err := dial(ctx, network, addr)
+					ours <- c
+					return c, err
+				}
+				if res := newAttempt(p, "a", patience).run(); res.status != logic.OK {
+					t.Fatalf("got %v", res.status)
+				}
+				rested(p)
+				a, looks := newAttempt(p, "a", patience), 0
+				if streamed {
+					a.req.method, a.req.rest = http.MethodPost, newUpload(t, []byte(text(100_000)))
+					a.uploaded = func(time.Time) time.Time { return a.deadline }
+				}
+				a.req.left = func() bool { // asked before a connection is taken, and again right before the first byte
+					if looks++; looks == 2 {
+						_, _ = io.WriteString(<-theirs, stray)
+						c := <-ours
+						waitUntil(t, func() bool { return !quiet(c) })
+					}
+					return false
+				}
+				if res := a.run(); res.status != logic.OK || b.requests.Load() != 2 || b.conns.Load() != 2 {
+					t.Errorf("got %v; %d requests on %d connections", res.status, b.requests.Load(), b.conns.Load())
+				}
+			})
+		}
+	}
+}
+
+// A backend that speaks before it has the whole request has not answered it. Nothing more of it goes out then, so that
+// it can't run, though its client has written all of it.
+func TestAWordBeforeTheRequestsEndIsNoAnswerToIt(t *testing.T) {
+	for name, word := range strays {
+		t.Run(name, func(t *testing.T) {
+			speak, whole := make(chan struct{}), make(chan bool, 1)
+			b := startRawBackend(t, func(w io.Writer, r *http.Request) bool {
+				<-speak
+				_, _ = io.WriteString(w, word)
+				body, err := io.ReadAll(r.Body)
+				whole <- err == nil && len(body) == 20_000
+				return false
+			})
+			p := poolWith(4, b.addr)
+			a := newAttempt(p, "a", patience)
+			a.req.method, a.req.rest = http.MethodPost, newUpload(t, []byte(text(20_000)))
+			a.uploaded = func(time.Time) time.Time { return time.Now().Add(patience) }
+			a.req.rest.next = func() { // the client's part has ended, the last piece has not gone out
+				close(speak)
+				waitUntil(t, a.spoken.Load)
+			}
+			res := a.run()
+			if res.status != logic.FullUp && res.status != logic.ConnectFailed {
+				t.Errorf("got %v", res.status)
+			}
+			if wait(t, "end", whole) {
+				t.Error("it ran")
+			}
+		})
+	}
+}
+
+// overlong reads a body of a told length, and then fails where net/http looks for a surplus.
+type overlong struct{ left int }
+
+func (o *overlong) Read(b []byte) (int, error) {
+	if o.left == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(o.left, len(b))
+	o.left -= n
+	return n, nil
+}
+
+// An error of the client's after its last byte proves nothing: that byte may have gone out.
+func TestAnErrorBehindTheBodyLeavesInDoubtWhetherItRan(t *testing.T) {
+	whole := make(chan bool, 1)
+	b := startRawBackend(t, func(_ io.Writer, r *http.Request) bool {
+		_, err := io.ReadAll(r.Body)
+		whole <- err == nil
+		return false
+	})
+	p := poolWith(4, b.addr)
+	a := newAttempt(p, "a", patience)
+	a.req.method, a.req.rest = http.MethodPost, newUpload(t, nil)
+	a.req.rest.length = 25 * 4096 // net/http's buffer is full then, and its last byte goes out before the error
+	a.req.rest.from = &overlong{int(a.req.rest.length)}
+	if res := a.run(); res.status != logic.Reset {
+		t.Errorf("got %v", res.status)
+	}
+	if !wait(t, "end", whole) {
+		t.Error("the test's body did not go out whole")
+	}
+}
+
+// An answer with another behind it is not to be believed when it says that the request never ran.
+func TestANotStartedWithMoreBehindItProvesNothing(t *testing.T) {
+	for name, text := range map[string]string{
+		"another":        "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n" + served,
+		"twice":          "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 No\r\nNot-Started: 1\r\n\r\n",
+		"in its own":     "HTTP/1.1 503 No\r\nNot-Started: 1\r\nX-Rest: " + served,
+		"without length": "HTTP/1.1 503 No\r\nNot-Started: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := poolWith(4, startBackend(t, says(text, false)).addr)
+			if res := newAttempt(p, "a", patience).run(); res.status != logic.Reset && res.status != logic.Error {
+				t.Errorf("got %v", res.status)
+			}
+		})
+	}
+}
