Begin a long answer with its head, so that its client never sends the request again

The head now goes out, flushed, before the body is read; a break shows as one. TestALongAnswerThatBreaksOffIsBegunAllTheSame fails without (unexpected EOF).

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -235,10 +235,11 @@
 		}
 		return nil
 	}
-	if len(d.first) > 0 {
-		if err := put(d.first); err != nil {
-			return err
-		}
+	// The head goes ahead of the body, also where none of that has come: a client whose connection ends without a word
+	// takes its request for unread and sends it again.
+	w.WriteHeader(http.StatusOK)
+	if err := put(d.first); err != nil {
+		return err
 	}
 	buf := copyBuffers.Get().(*[copySize]byte)
 	defer copyBuffers.Put(buf)
--- a/internal/proxy/repeat_test.go
+++ b/internal/proxy/repeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -260,3 +261,22 @@
 		})
 	}
 }
+
+// A long answer of which only the head has come is begun: were the connection to end without a word, its client would
+// take the request for unread and send it again.
+func TestALongAnswerThatBreaksOffIsBegunAllTheSame(t *testing.T) {
+	p, b := serving(t, says("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n", false))
+	c := connect(t, p)
+	c.send(t, shortPost("1"))
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %s with %d bytes, %v", resp.Status, len(body), err)
+	}
+	nothingLeft(t, p)
+	if n := b.requests.Load(); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
