Take a class whose scope is not told for one whose own cell alone drops repeats

TestWhatIsNotSaidOfRepeatsAllowsNone fails without. Units, windows and effects were followed through internal/settings and both tiers: sound otherwise.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -150,6 +150,9 @@
 		if !ok {
 			return s, fmt.Errorf("profiles[%d].dedup_scope: unknown word %q", i, p.Scope)
 		}
+		if repeat == logic.Keyed && p.Scope == "" { // who drops its repeats is not told: its own cell at least
+			group = logic.GroupCell
+		}
 		s.Classes = append(s.Classes, logic.Class{Aim: p.Objective, Deadline: p.GiveUp, Worth: p.Worth,
 			LateWorth: p.LateShare, Repeat: repeat, Group: group, Window: p.Window,
 			ByArrival: p.ByArrival})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -57,3 +57,14 @@
 		}
 	}
 }
+
+// Without a word on who drops a class's repeats, or for how long, it gets the narrowest meaning.
+func TestWhatIsNotSaidOfRepeatsAllowsNone(t *testing.T) {
+	site, err := Decode([]byte(strings.Replace(object1, `"dedup_scope":"cell","dedup_window_us":2000000,`, "", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k := site.Logic.Classes[0]; k.Repeat != logic.Keyed || k.Group != logic.GroupCell || k.Window != 0 {
+		t.Errorf("got %+v", k)
+	}
+}
