--- a/logic/logic.go
+++ b/logic/logic.go
@@ -361,11 +361,15 @@
 // refuse gives a hint spread so that clients do not return together, nor so late that an answer then misses
 // its aim.
 func (b *Balancer) refuse(now int64, h Host, q *request) {
-	most := min(b.s.MaxRetryAfter, int64(hintPart*float64(b.s.Classes[q.Class].Aim)))
+	most := b.longestHint(q)
 	h.Refuse(q.ID, most/2+b.rnd.Int64N(most/2+1))
 	b.finish(now, h, q)
 }
 
+func (b *Balancer) longestHint(q *request) int64 {
+	return min(b.s.MaxRetryAfter, int64(hintPart*float64(b.s.Classes[q.Class].Aim)))
+}
+
 // canPass checks the rules in order.
 func (b *Balancer) canPass(now int64, q *request) bool {
 	if q.Spare < max(q.Lines/sparePart, min(spareLeast, q.Lines/2)) || !b.tier.canPass(b.rnd.Float64()) {
@@ -532,7 +536,7 @@
 // attempt that may have run. It is 0 while none may have run, and where repeats are not told by their key.
 func (b *Balancer) lapse(q *request) int64 {
 	k := b.s.Classes[q.Class]
-	i := slices.IndexFunc(q.attempts, func(a *attempt) bool { return a.mayRun }) // they are in order
+	i := slices.IndexFunc(q.attempts, (*attempt).hasRun) // they are in order
 	if i < 0 || k.Repeat != Keyed {
 		return 0
 	}
@@ -555,18 +559,12 @@
 	return true
 }
 
-// mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless.
-func (b *Balancer) mayRefuse(q *request) bool {
+// mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless: once an attempt may have
+// run, that holds where all servers drop repeats, and for a client that comes again while they do.
+func (b *Balancer) mayRefuse(now int64, q *request) bool {
 	k := b.s.Classes[q.Class]
-	if k.Repeat == Safe || k.Repeat == Keyed && k.Group == GroupAll {
-		return true
-	}
-	for _, a := range q.attempts {
-		if a.mayRun {
-			return false
-		}
-	}
-	return true
+	return k.Repeat == Safe || !slices.ContainsFunc(q.attempts, (*attempt).hasRun) ||
+		k.Repeat == Keyed && k.Group == GroupAll && now+b.longestHint(q) < b.lapse(q)
 }
 
 // Started takes the news that a streamed answer has begun: from now on that attempt is the client's.
@@ -611,7 +609,7 @@
 		b.finish(now, h, q)
 	} else if q.out > 0 || !o.Spent && b.again(now, h, q) {
 		return
-	} else if b.mayRefuse(q) {
+	} else if b.mayRefuse(now, q) {
 		b.refuse(now, h, q)
 	} else {
 		h.Fail(q.ID)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -136,6 +136,37 @@
 	}
 }
 
+// A refusal asks the client to come again, at the latest when the hint ends: by then a repeat has to be dropped still.
+func TestARefusalHoldsOnlyWhileRepeatsAreDropped(t *testing.T) {
+	for _, c := range []struct {
+		class  int
+		status Status
+		after  int64
+		hint   int64 // longest
+		want   string
+	}{
+		{0, Error, 900_000, 2_000_000, "refuse r"},
+		{3, Error, 1000, 0, "refuse r"},
+		{3, Error, 1000, 200_000, "refuse r"},
+		{3, Error, 1000, 2_000_000, "refuse r"}, // half of the aim counts
+		{3, Error, 100_000, 200_000, "fail r"},
+		{3, Error, 100_000, 100_000, "refuse r"},
+		{3, Reset, 285_000, 0, "fail r"},
+		{3, FullUp, 900_000, 2_000_000, "refuse r"},
+		{1, Error, 1000, 0, "fail r"},
+		{2, FullUp, 1000, 0, "refuse r"},
+	} {
+		s := testSettings()
+		s.MaxAttempts, s.MaxRetryAfter = 1, c.hint
+		b, h := with(t, s, 8)
+		ask(b, h, start, "r", c.class)
+		b.Outcome(start+c.after, h, Outcome{ID: "r", Status: c.status, Took: c.after})
+		if h.last() != c.want {
+			t.Errorf("class %d, status %d after %d, hint %d: got %q", c.class, c.status, c.after, c.hint, h.last())
+		}
+	}
+}
+
 func TestRuleTwoAfterAnOutcome(t *testing.T) {
 	for _, c := range []struct {
 		class  int
@@ -155,7 +186,7 @@
 		{2, TimedOut, 1000, "fail"},
 		{2, Reset, 1000, "fail"},
 		{3, Error, 1000, "send"},
-		{3, Error, 300_000, "refuse"},
+		{3, Error, 300_000, "fail"}, // its client would come again when it is forgotten
 		{4, Error, 1000, "zone"},
 		{4, Error, 300_000, "fail"},
 	} {
--- a/logic/random_test.go
+++ b/logic/random_test.go
@@ -148,6 +148,9 @@
 		if t.ran && class.Repeat != Safe && !(class.Repeat == Keyed && class.Group == GroupAll) {
 			c.fault("rule 2: %s refused after it may have run", id)
 		}
+		if t.ran && class.Repeat == Keyed && c.now+after >= t.sent+class.Window {
+			c.fault("rule 2: %s asked to come again when it may have been forgotten", id)
+		}
 	}
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -145,6 +145,9 @@
 	counts bool // in the counts of calls in flight
 }
 
+// hasRun tells whether nothing proves that it never ran.
+func (a *attempt) hasRun() bool { return a.mayRun }
+
 // turn is the line of one key's requests in the order of their arrival.
 type turn struct {
 	key  string
