Find what an asked list missed within 6 s, whatever call was given up or refused

Now 2.5 + 0.5 + 2.2 + 0.5 s at most, and rests of 2 s at most. All proxies wait in turn at one service and each watch is a call of it: waits grow to 4 s where calls fail and shrink again with each answer. Not within 6 s: a chain with a wait of 4 s, or refused again after what was given up.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -27,7 +27,12 @@
 	// if that is later. Where the list is pushed, asking costs nothing; where it is asked, all proxies share one
 	// service.
 	pushHold = 2 * time.Second
-	askHold  = 3 * time.Second // and down to two thirds of it, or all proxies would find a silence at once
+	askHold  = 2500 * time.Millisecond // and down to two thirds of it, or all proxies would find a silence at once
+	// All proxies of a fleet wait in turn, and each watch is one call: where calls fail, the waits of those that follow
+	// grow to this, so that the service keeps up, and shrink again with each answer.
+	askMost   = 4 * time.Second
+	askLonger = 1.25
+	askLess   = 50 * time.Millisecond
 
 	// An answer is overdue so long after a watch's wait, and the whole list after wholePatience. Where the list is
 	// pushed an agent on this machine answers at once or, while discovery is down, not at all, and what it learns when
@@ -37,10 +42,13 @@
 	wholePatience = 150 * time.Millisecond
 	wholeMost     = time.Second // where no version is known to watch from, in the end
 	askPatience   = 500 * time.Millisecond
-	askWhole      = 3 * time.Second        // calls wait in turn, and one given up would have to wait again
-	retryFirst    = 50 * time.Millisecond  // after a call that failed at once
-	retryMost     = 100 * time.Millisecond // at most
-	maxList       = 4 << 20
+	// Calls wait in turn, and one given up has to wait again. But a change counts as told 6 s after the list had it,
+	// whatever call fell silent, was refused or was given up: a watch that is silent, a call for the whole list that is
+	// given up and the module's rest before the next one take less.
+	askWhole   = 2200 * time.Millisecond
+	retryFirst = 50 * time.Millisecond  // after a call that failed at once
+	retryMost  = 100 * time.Millisecond // at most
+	maxList    = 4 << 20
 )
 
 // endpoint is an entry of the list as discovery words it.
@@ -148,10 +156,16 @@
 		}
 		if err == nil {
 			index, whole, wait, subscribed = list.index, false, retryFirst, true
+			if subscribe {
+				d.hold = max(askHold, d.hold-askLess)
+			}
 			d.tell(ctx, listNews{list})
 			continue
 		}
 		d.log.Warn("discovery", "error", err)
+		if subscribe {
+			d.hold = min(askMost, time.Duration(askLonger*float64(d.hold)))
+		}
 		silent := errors.Is(err, context.DeadlineExceeded)
 		if !errors.Is(err, errBusy) {
 			whole = index < 0 || subscribe || !silent
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -568,6 +568,34 @@
 	}
 }
 
+// A change counts as told 6 s after the list had it, whatever call was silent, given up or refused in between. Here a
+// watch falls silent as the change comes and the call after it is given up.
+func TestACallGivenUpIsMadeUpForInTime(t *testing.T) {
+	t.Parallel()
+	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
+	d := startDiscovery(t)
+	site, err := settings.Decode([]byte(strings.NewReplacer(`"automatic"`, `"subscribe"`,
+		`"cold_us"`, `"ask_every_us":24000000,"cold_us"`).Replace(siteText)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	known, err := ParseList([]byte(listText(5, true, listed("a", a.addr, statusServing), listed("b", b.addr, statusServing))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := start(t, Config{Listen: "127.0.0.1:0", Discovery: d.addr, Seed: 7, Sockets: 200, Site: site, Known: known,
+		Log: slog.New(slog.DiscardHandler)})
+	wait(t, "watch", d.calls)
+	silent := time.Now()
+	wait(t, "call for the whole list", d.calls)
+	wait(t, "call after that was given up", d.calls)
+	d.say <- listText(6, true, listed("a", a.addr, statusServing), listed("b", b.addr, statusDraining))
+	waitUntil(t, func() bool { _, _, _, ok := p.loop.pool.find("b"); return !ok })
+	if took := time.Since(silent); took > 6*time.Second {
+		t.Errorf("told after %v", took)
+	}
+}
+
 // Discovery went down under all proxies at once, and each asked again at the same instants.
 func TestRetriesAreSpread(t *testing.T) {
 	seen := map[time.Duration]bool{}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,7 +84,8 @@
 	ownFree    = 5.0         // further attempts in it, whatever was taken
 	ownShare   = 0.1         // and for each request taken
 	watchFirst = second / 4
-	watchPart  = 8 // backoff of a failed subscription doubles up to this part of AskEvery
+	watchMost  = second // backoff of a failed subscription doubles up to this, lest changes are told late
+	watchPart  = 8      // and up to this part of AskEvery
 	watchToken = "watch"
 	heldToken  = "held " // and a request
 	turnToken  = "turn " // and a key
@@ -196,7 +197,7 @@
 	if kind == Failed {
 		if b.asked { // many copies keep the list busy: back off, one ask at a time
 			h.SetTimer(b.backoff+b.rnd.Int64N(b.backoff), watchToken)
-			b.backoff = max(watchFirst, min(2*b.backoff, b.s.AskEvery/watchPart))
+			b.backoff = max(watchFirst, min(2*b.backoff, watchMost, b.s.AskEvery/watchPart))
 		}
 		b.asked = false
 		return
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -10,11 +10,12 @@
 
 // recorder is a Host that keeps what it was told.
 type recorder struct {
-	lines []string
-	sends []sent
-	watch int
-	timer []string
-	hints []int64
+	lines  []string
+	sends  []sent
+	watch  int
+	timer  []string
+	delays []int64 // of the timers
+	hints  []int64
 }
 
 type sent struct {
@@ -38,6 +39,7 @@
 func (r *recorder) SetTimer(delay int64, token string) {
 	r.note("timer %d %s", delay, token)
 	r.timer = append(r.timer, token)
+	r.delays = append(r.delays, delay)
 }
 func (r *recorder) Log(line string) { r.note("log") }
 func (r *recorder) Watch()          { r.note("watch"); r.watch++ }
@@ -846,6 +848,22 @@
 	}
 }
 
+// However many calls in a row fail, the next one is not put off for long: a change counts as told 6 s after the list had
+// it, and what a call and its wait take comes on top.
+func TestCallsThatFailAreMadeUpForSoon(t *testing.T) {
+	s := testSettings()
+	s.Subscribe, s.AskEvery = true, 24*second
+	b, h := with(t, s, 2)
+	for range 20 {
+		h.delays = nil
+		b.List(start, h, Failed, nil)
+		if len(h.delays) != 1 || h.delays[0] > 2*second {
+			t.Fatalf("rests %v", h.delays)
+		}
+		b.Timer(start, h, watchToken)
+	}
+}
+
 func TestHomeFirstAndSpillUnderPressure(t *testing.T) {
 	b, _ := with(t, testSettings(), 8)
 	home := b.weigh(start, b.byID["s0"], 0)
