Test that a client which ends its sending is taken for gone like one that closes

It held already, at all four places where a request waits (the socket leaves the established state). Looked at right before the first byte of each attempt, held or passed on as it comes; between the look and the write lie no waits.

--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -39,6 +39,8 @@
 }{
 	"closes":                   {shortPost, func(_ *testing.T, c *client) { c.Close() }},
 	"resets":                   {shortPost, reset},
+	"ends its sending":         {shortPost, func(_ *testing.T, c *client) { _ = c.Conn.(*net.TCPConn).CloseWrite() }},
+	"ends it in mid-body":      {longPost, func(_ *testing.T, c *client) { _ = c.Conn.(*net.TCPConn).CloseWrite() }},
 	"closes behind more bytes": {shortPost, closeBehind},
 	"resets behind more bytes": {shortPost, func(t *testing.T, c *client) { c.send(t, "GET /"); reset(t, c) }},
 	"closes in mid-body":       {longPost, func(_ *testing.T, c *client) { c.Close() }},
