Close idle clients over the limit when another process comes to share the descriptors

Read and forced: limit() halved what clients may hold for those to come alone; idle clients that filled the old limit kept it, and the two processes together held more descriptors than the proxy may.

--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -79,11 +79,13 @@
 	return c
 }
 
-// limit takes another number of connections at most, for those to come.
+// limit takes another number of connections at most. What is over it and carries no request is closed: the descriptors
+// are another process's now.
 func (l *clients) limit(most int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.most = most
+	for l.most = most; len(l.conns) > l.most && l.evict(); {
+	}
 }
 
 // evict closes one connection that carries no request: the longest silent one unless that is too young to be
