Keep a fleet to what cold servers bear together, and rather refuse than push them over

And a server that operators put back got a first call of every copy in the same moment: 28 where 27 pass. Now a cold server's chance in draw is also bounded by what it would have if all were warm, times its warmth and 0.75 of tip_multiple (read from the settings): what is over goes to warm ones, or is refused. First calls come in turn, by the copy's number.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 		Cold          int64   `json:"cold_us"`
 		DrainGrace    int64   `json:"drain_grace_us"`
 		StartCapacity float64 `json:"start_capacity"`
+		TipMultiple   float64 `json:"tip_multiple"`
 	} `json:"contract"`
 	CountedBy string   `json:"counted_by"`
 	Zones     []string `json:"failure_domains"`
@@ -132,7 +133,7 @@
 		OrderSettle: o.Contract.OrderSettle,
 		BudgetSpan:  o.Contract.RatioSpan, BudgetFree: o.Contract.Spare, BudgetShare: o.Contract.ResendRatio,
 		DrainGrace: o.Contract.DrainGrace,
-		AskEvery:   o.Contract.AskEvery, StartCapacity: o.Contract.StartCapacity, Cold: o.Contract.Cold,
+		AskEvery:   o.Contract.AskEvery, StartCapacity: o.Contract.StartCapacity, TipMultiple: o.Contract.TipMultiple, Cold: o.Contract.Cold,
 		ByWork: o.CountedBy == "work",
 	}
 	if o.Membership != "automatic" && o.Membership != "subscribe" {
--- a/logic/api.go
+++ b/logic/api.go
@@ -76,6 +76,7 @@
 	AskEvery      int64 // with Subscribe: the longest time without a subscription or a call
 
 	StartCapacity float64 // part of its capacity that a server starts with, at least
+	TipMultiple   float64 // a cold server that gets more than so many times its capacity for a while falls over
 	Cold          int64   // a server is warm after this at the latest
 
 	ByWork bool // worth is counted for each unit of work, not for each request
@@ -190,6 +191,7 @@
 		{s.AskEvery < 0 || s.Subscribe && s.AskEvery == 0, "AskEvery: not positive"},
 		{!(s.StartCapacity >= 0 && s.StartCapacity <= 1), "StartCapacity: not within 0 and 1"},
 		{s.Cold < 0, "Cold: negative"},
+		{!(s.TipMultiple >= 0), "TipMultiple: negative"},
 	} {
 		if c.bad {
 			return fmt.Errorf("logic: Settings.%s", c.field)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -54,15 +54,16 @@
 	healthRise  = 0.25 // part of the lost health that a success restores
 	blameRatio  = 2.0  // a server is to blame when it fails this many times as often as all
 	coldMargin  = 0.6  // part of its least capacity that a cold server is given
+	coldMost    = 0.75 // and this times TipMultiple as much where too few others can take the rest
+	owedSteps   = 200  // copies give a server put back its first calls in turn, this part of Cold apart
 
 	hintPart = 0.5 // of the aim: the longest hint
 
 	onTheWay = second / 50 // a repeat counts when its last byte has come: writing it and the way take less
 
-	// Of connections that can't become more, one in so many is kept free, and this many at least, if they are
-	// not more than half. A client that finds none free finds nobody, and takes this copy for gone; a refused
-	// one has its connection back at once. This serves a copy that is about to end, and any whose clients
-	// are bounded. It hurts where few come: it then refuses what the last connections could have served.
+	// Of connections that can't become more, one in so many is kept free, and this many at least, if not
+	// more than half. A client that finds none free takes this copy for gone; a refused one has its own
+	// back at once. It hurts where few come: it then refuses what the last connections could have served.
 	sparePart  = 8
 	spareLeast = 3
 
@@ -85,14 +86,13 @@
 	ownShare   = 0.1         // and for each request taken
 	watchFirst = second / 4
 	watchMost  = second // backoff of a failed subscription doubles up to this, lest changes are told late
-	watchPart  = 8      // and up to this part of AskEvery
 	watchToken = "watch"
 	heldToken  = "held " // and a request
 	turnToken  = "turn " // and a key
 )
 
-// add takes one finish. It returns 0 until the round can be judged, then 1 if it was good, or else the factor
-// to cut by, lower the more of it was bad: a false alarm costs little and a jam is answered at once.
+// add takes one finish. It returns 0 until the round can be judged, then 1 if it was good, or else the
+// factor to cut by.
 func (r *round) add(now, sent int64, bad bool) (factor float64) {
 	if r.since = cmp.Or(r.since, sent); sent < r.since {
 		return 0
@@ -130,9 +130,8 @@
 	r.peak = r.threads
 }
 
-// canPass stretches the one-second window of a small count, so that fractional counts work. A fresh copy's
-// window is no longer than its life, or it would let a long window's worth through at once. Room for chance
-// guards sparse copies, where single calls fill a tenant's count.
+// canPass stretches the one-second window of a small count, so that fractional counts work, but not beyond
+// the copy's life. Room for chance guards sparse copies, where single calls fill a tenant's count.
 func (r *originRule) canPass(now, born int64, count, room, u float64) bool {
 	span := second
 	for span < windowWhole && count*float64(span/second) < windowHold && now-born >= span {
@@ -197,7 +196,7 @@
 	if kind == Failed {
 		if b.asked { // many copies keep the list busy: back off, one ask at a time
 			h.SetTimer(b.backoff+b.rnd.Int64N(b.backoff), watchToken)
-			b.backoff = max(watchFirst, min(2*b.backoff, watchMost, b.s.AskEvery/watchPart))
+			b.backoff = min(2*b.backoff, watchMost)
 		}
 		b.asked = false
 		return
@@ -218,21 +217,6 @@
 	b.backoff = watchFirst
 }
 
-// enter takes one entry of a list. What was learned of a server is dropped when its process restarts.
-func (b *Balancer) enter(e Server) {
-	s := b.byID[e.ID]
-	if s == nil {
-		s = &server{hash: hash(e.ID), back: b.awaited[e.ID], owed: b.awaited[e.ID] > 0}
-		delete(b.awaited, e.ID)
-		b.byID[e.ID] = s
-		b.all = append(b.all, s)
-	}
-	if s.ID == "" || s.Launched != e.Launched {
-		s.forget(len(b.classes))
-	}
-	s.Server = e
-}
-
 // relist forgets gone servers and gathers the ready ones. Rule 3 holds with no grace used: a server is
 // out of the draw from the moment that the list says that it drains or is gone.
 func (b *Balancer) relist() {
@@ -274,10 +258,9 @@
 	b.relist()
 }
 
-// rotate orders the ready servers so that this copy's subset comes first: they stand on a ring in the order
-// of their hashes, and copies start at places spread over it. With many copies each server would otherwise
-// hold a connection of every one, which costs it capacity and turns new ones away, and each copy would see
-// too few calls to a server to judge it.
+// rotate orders the ready servers so that this copy's subset comes first: they stand on a ring by their
+// hashes, and copies start at places spread over it. Each server would otherwise hold a connection of every
+// copy, which costs it capacity, and each copy would see too few calls to a server to judge it.
 func (b *Balancer) rotate() {
 	slices.SortFunc(b.ready, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.ID, y.ID))
@@ -444,8 +427,7 @@
 	}
 }
 
-// timeout gives an attempt up when its answer would be worth nothing, and before that where another may
-// follow, so that a hung server frees its slot.
+// timeout gives an attempt up when its answer would be worth nothing, or before where another may follow.
 func (b *Balancer) timeout(now int64, q *request) int64 {
 	left := b.deadline(q) - now
 	if b.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
@@ -478,12 +460,22 @@
 	if sum == 0 {
 		return nil
 	}
-	total := 0.0
+	total, lack, cold := 0.0, 0.0, 0.0 // lack: by so much total would be more if all were warm
 	for i, s := range b.ready[:len(b.weights)] {
 		b.weights[i] /= math.Pow(1+s.busy(q.Class, held/sum), heldPower)
 		total += b.weights[i]
+		if warmth := b.warmth(now, s); warmth < 1 {
+			cold += b.weights[i]
+			lack += b.weights[i]/warmth - b.weights[i]
+		}
+	}
+	if x := b.rnd.Float64() * max(total, (total+lack)/max(1, coldMost*b.s.TipMultiple)); x < total {
+		return b.pick(x)
+	}
+	for i, s := range b.ready[:len(b.weights)] { // more than cold servers bear: to the warm ones, or to none
+		b.weights[i] *= partOf(b.warmth(now, s) == 1)
 	}
-	return b.pick(b.rnd.Float64() * total)
+	return b.pick(b.rnd.Float64() * (total - cold))
 }
 
 // pick returns the ready server at which the sum of weights passes x, or nil if none has weight.
@@ -508,7 +500,7 @@
 // weigh is a server's weight in the draw before the calls of this copy that it already holds: its size, what
 // was learned of it, its age and its zone.
 func (b *Balancer) weigh(now int64, s *server, class int) float64 {
-	if s.owed { // just put back: one call is no burden, and shows that it is
+	if s.owed && now >= s.back+int64(b.s.Ordinal)*b.s.Cold/owedSteps { // one call of each copy is no burden
 		return 1
 	}
 	w := max(healthFloor, s.healthFor(class)) / (s.slowness * s.slowness) * b.warmth(now, s)
@@ -560,8 +552,9 @@
 	return true
 }
 
-// mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless: once an attempt may have
-// run, that holds where all servers drop repeats, and for a client that comes again while they do.
+// mayRefuse keeps rule 2 for a refusal, which tells the client that trying again is harmless: once an
+// attempt may have run, that holds where all servers drop repeats, and for a client that comes again while
+// they do.
 func (b *Balancer) mayRefuse(now int64, q *request) bool {
 	k := b.s.Classes[q.Class]
 	return k.Repeat == Safe || !slices.ContainsFunc(q.attempts, (*attempt).hasRun) ||
@@ -650,8 +643,8 @@
 	}
 }
 
-// slowBar is the time at which a call counts as slow: well before its aim, and also when it takes clearly
-// longer than calls do when little waits, since servers that hold too many turn slower for long.
+// slowBar is when a call counts as slow: well before its aim, and when it takes clearly longer than if
+// little waits.
 func (b *Balancer) slowBar(class int) float64 {
 	bar := slowBar * float64(b.s.Classes[class].Aim)
 	if b.s.Stage > 0 || b.share <= crowdLow {
@@ -669,8 +662,8 @@
 }
 
 // press takes one piece of evidence on whether the shares and home are under pressure. A class also yields
-// to one that is worth clearly more: that one's calls cut its count when they near their aim. Calls that are
-// only slower than in quiet press the shares alone: by chance a third of them may be, and all be in time.
+// to one worth clearly more: that one's calls cut its count when they near their aim. Those only slower
+// than in quiet press the shares.
 func (b *Balancer) press(now int64, class int, a *attempt, slow, homeBad bool) {
 	near := float64(now-a.sent) > slowBar*float64(b.s.Classes[class].Aim)
 	for i := range b.classes {
@@ -712,11 +705,10 @@
 	}
 }
 
-// judge updates a server's health and tells whether a failure is its own. One that its peers show as well is
-// a deeper tier's and held against the counts; a refused connection never is, lest a lost zone be one. An
-// error that was answered concerns its class only, lest servers that fail one class be lost to all; silence
-// concerns the whole server. A full server is not ill: the counts answer to that, and the calls that it would
-// have had are not to crowd its peers.
+// judge updates a server's health and tells whether a failure is its own. One that its peers show as well
+// is a deeper tier's and held against the counts; a refused connection never is, lest a lost zone be one.
+// An error that was answered concerns its class only, silence the whole server. A full server is not ill:
+// the counts answer to that, and the calls that it would have had are not to crowd its peers.
 func (b *Balancer) judge(s *server, class int, status Status) (blame bool) {
 	c, x := &b.classes[class], partOf(status != OK)
 	b.errs += (x - b.errs) * meanGain
--- a/logic/state.go
+++ b/logic/state.go
@@ -181,6 +181,21 @@
 	}
 }
 
+// enter takes one entry of a list. What was learned of a server is dropped when its process restarts.
+func (b *Balancer) enter(e Server) {
+	s := b.byID[e.ID]
+	if s == nil {
+		s = &server{hash: hash(e.ID), back: b.awaited[e.ID], owed: b.awaited[e.ID] > 0}
+		delete(b.awaited, e.ID)
+		b.byID[e.ID] = s
+		b.all = append(b.all, s)
+	}
+	if s.ID == "" || s.Launched != e.Launched {
+		s.forget(len(b.classes))
+	}
+	s.Server = e
+}
+
 // tried tells whether an attempt of the request went to the server.
 func (q *request) tried(s *server) bool {
 	for _, a := range q.attempts {
