Stop waiting for a client whose request its backend has turned away or broken off

Its cause is a fault: a backend that turned a long request away, or broke off, while the proxy waited for more of it from the client, stopped the writes to the backend alone (listen); the read of the client waited out the body's time, up to 9 s, and then blamed the client. An early end without a word stopped nothing at all.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -527,6 +527,7 @@
 // send passes a request on while its client writes it. ok tells whether an answer is to be read: all of the request
 // has gone out. Before that a backend can only turn it away.
 func (a *attempt) send(c *conn) (res result, ok bool) {
+	a.req.rest.resume()
 	w := &stalling{a: a, c: c, said: make(chan bool, 1), none: result{status: logic.Moot}}
 	_ = c.SetReadDeadline(time.Time{})
 	err := a.out(io.MultiReader(bytes.NewReader(a.req.body), a.req.rest)).Write(w)
@@ -570,7 +571,7 @@
 	c       *conn
 	none    result      // how the attempt ends where nothing has gone out
 	said    chan bool   // once something has: whether the backend has said something, or nothing in time
-	stopped atomic.Bool // it did before all had gone out: no more of the request is wanted
+	stopped atomic.Bool // it did, or ended, before all had gone out: no more of the request is wanted
 	short   bool        // a write did not take all
 }
 
@@ -595,13 +596,14 @@
 	return n, err
 }
 
-// listen waits for the backend's word.
+// listen waits for the backend's word or its end. Where either comes early, nobody waits for the client any longer.
 func (s *stalling) listen() {
 	_, err := s.c.r.Peek(1)
 	s.a.spoken.Store(err == nil)
-	if err == nil && !s.a.req.rest.ended.Load() {
+	if u := s.a.req.rest; !u.ended.Load() {
 		s.stopped.Store(true)
 		_ = s.c.SetWriteDeadline(time.Unix(1, 0))
+		u.interrupt()
 	}
 	s.said <- err == nil
 }
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -122,6 +122,7 @@
 	ended   atomic.Bool   // all of it has come
 	over    chan struct{} // closed then
 	mu      sync.Mutex    // held while something is read
+	idle    atomic.Bool   // nobody wants more of it for now
 	broken  error         // why the client's part failed
 	next    func()        // told at the end; may be nil
 }
@@ -133,6 +134,14 @@
 	return u.broken
 }
 
+// interrupt ends a read that waits for the client, and those after it until resume.
+func (u *upload) interrupt() {
+	u.idle.Store(true)
+	_ = u.control.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (u *upload) resume() { u.idle.Store(false) }
+
 // complete tells whether as much has come as was told to come.
 func (u *upload) complete() bool {
 	u.mu.Lock()
@@ -145,6 +154,7 @@
 	if u.ended.Load() || u.control.Flush() != nil {
 		return
 	}
+	u.resume()
 	buf := copyBuffers.Get().(*[copySize]byte)
 	defer copyBuffers.Put(buf)
 	for {
@@ -163,6 +173,8 @@
 	return u.over
 }
 
+var errInterrupted = errors.New("no more of the body is wanted")
+
 // errTooLong is a body that goes on beyond what is passed on.
 var errTooLong = errors.New("the body is too large")
 
@@ -180,6 +192,8 @@
 			}
 		}
 		_ = u.control.SetReadDeadline(time.Time{}) // net/http reads on, to see a client that goes
+	} else if u.idle.Load() {
+		return n, errInterrupted
 	} else if err != nil {
 		u.broken = err
 	}
@@ -188,6 +202,9 @@
 
 func (u *upload) read(b []byte) (int, error) {
 	_ = u.control.SetReadDeadline(u.due())
+	if u.idle.Load() { // while the deadline was set
+		return 0, errInterrupted
+	}
 	n, err := u.from.Read(b) // takes turns with what net/http does to it
 	if u.taken += int64(n); u.taken > maxBody {
 		return n, errTooLong
