Ask on for a first list where lists are asked for, and wait longer where a fleet starts

It asks on by itself now, with growing rests (TestAStartWithNoListAsksUntilItHasOne). A call for the whole list that is given up is given twice the time up to 8 s, since it then waits in turn with a starting fleet; an answer ends that. Found sound: a list of 1,024 backends, indented, and as many changes (TestAListOfAThousandBackends); 4 MB bound a list. The tests' discovery no longer gives an answer to a call that its caller has given up.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -45,10 +45,13 @@
 	// Calls wait in turn, and one given up has to wait again. But a change counts as told 6 s after the list had it,
 	// whatever call fell silent, was refused or was given up: a watch that is silent, a call for the whole list that is
 	// given up and the module's rest before the next one take less.
-	askWhole   = 2200 * time.Millisecond
-	retryFirst = 50 * time.Millisecond  // after a call that failed at once
-	retryMost  = 100 * time.Millisecond // at most
-	maxList    = 4 << 20
+	askWhole     = 2200 * time.Millisecond
+	askWholeMost = 8 * time.Second // after such that were given up: in a fleet that starts, all wait
+
+	retryFirst   = 50 * time.Millisecond  // after a call that failed at once
+	retryMost    = 100 * time.Millisecond // at most
+	askRetryMost = time.Second            // the same where all proxies share one service
+	maxList      = 4 << 20
 )
 
 // endpoint is an entry of the list as discovery words it.
@@ -134,6 +137,10 @@
 func (d *discovery) run(ctx context.Context, subscribe, first bool) {
 	defer d.client.CloseIdleConnections()
 	index, whole, wait := d.known, !subscribe || d.known < 0, retryFirst
+	longest, rest := wholeMost, retryMost
+	if subscribe {
+		longest, rest = askWholeMost, askRetryMost
+	}
 	for subscribed := !first; ctx.Err() == nil; {
 		if subscribe && !subscribed {
 			select {
@@ -157,7 +164,7 @@
 		if err == nil {
 			index, whole, wait, subscribed = list.index, false, retryFirst, true
 			if subscribe {
-				d.hold = max(askHold, d.hold-askLess)
+				d.hold, d.whole = max(askHold, d.hold-askLess), askWhole
 			}
 			d.tell(ctx, listNews{list})
 			continue
@@ -170,19 +177,21 @@
 		if !errors.Is(err, errBusy) {
 			whole = index < 0 || subscribe || !silent
 		}
-		subscribed = subscribe && silent && from >= 0
+		alone := subscribe && index < 0 // the module says when to ask again, but not while it has no list from here
+		subscribed = subscribe && (alone || silent && from >= 0)
+		if silent && from < 0 { // a busy core, or many in turn, may be what is slow
+			d.whole = min(2*d.whole, longest)
+		}
 		switch {
-		case subscribed:
-		case subscribe:
-			d.tell(ctx, listNews{}) // the module says when to ask again
+		case subscribed && !alone:
+		case subscribe && !alone:
+			d.tell(ctx, listNews{})
 		case !silent:
 			select {
 			case <-time.After(jitter(wait)):
 			case <-ctx.Done():
 			}
-			wait = min(2*wait, retryMost)
-		case whole: // a busy core may be what is slow
-			d.whole = min(2*d.whole, wholeMost)
+			wait = min(2*wait, rest)
 		}
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -41,6 +43,9 @@
 		d.calls <- r.URL.RawQuery
 		select {
 		case text := <-d.say:
+			if r.Context().Err() != nil { // nobody waits for it here any more
+				d.say <- text
+			}
 			if text == "" {
 				panic(http.ErrAbortHandler)
 			}
@@ -596,6 +601,59 @@
 	}
 }
 
+// A process that starts with no list, where lists are asked for, asks until it has one: the module, which says when to ask
+// again, has none to begin with.
+func TestAStartWithNoListAsksUntilItHasOne(t *testing.T) {
+	t.Parallel()
+	a, d := startBackend(t, says(served, true)), startDiscovery(t)
+	site, err := settings.Decode([]byte(strings.NewReplacer(`"automatic"`, `"subscribe"`,
+		`"cold_us"`, `"ask_every_us":24000000,"cold_us"`).Replace(siteText)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		d.say <- ""
+	}
+	d.say <- listText(1, true, listed("a", a.addr, statusServing))
+	began := time.Now()
+	p := start(t, Config{Listen: "127.0.0.1:0", Discovery: d.addr, Seed: 7, Sockets: 200, Site: site,
+		Log: slog.New(slog.DiscardHandler)})
+	waitUntil(t, func() bool { return p.health(t) == http.StatusOK })
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("ready after %v", took)
+	}
+}
+
+// A list of 1,024 backends, indented, and as many changes of it are taken and served from.
+func TestAListOfAThousandBackends(t *testing.T) {
+	t.Parallel()
+	b, d := startBackend(t, says(served, true)), startDiscovery(t)
+	list := func(index int, full bool, status string) string {
+		var entries []string
+		for i := range 1024 {
+			entries = append(entries, listed(fmt.Sprintf("s-%08x", i), b.addr, status))
+		}
+		var text bytes.Buffer
+		if err := json.Indent(&text, []byte(listText(index, full, entries...)), "", "        "); err != nil {
+			t.Fatal(err)
+		}
+		return text.String()
+	}
+	d.say <- list(1, true, statusServing)
+	p := startProxy(t, d.addr, 200, "")
+	waitUntil(t, func() bool { return p.health(t) == http.StatusOK })
+	if ok := p.asks(t, 200); ok != 200 {
+		t.Errorf("%d of 200 served", ok)
+	}
+	d.say <- list(2, false, statusDraining)
+	waitUntil(t, func() bool { _, _, _, ok := p.loop.pool.find("s-000003ff"); return !ok })
+	c := connect(t, p)
+	c.send(t, look("1", 4000))
+	if resp, _ := c.answer(t); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("with all draining: got %s", resp.Status)
+	}
+}
+
 // Discovery went down under all proxies at once, and each asked again at the same instants.
 func TestRetriesAreSpread(t *testing.T) {
 	seen := map[time.Duration]bool{}
