--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"syscall"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/proxy"
 	"fernlanding/internal/settings"
 )
@@ -64,7 +65,7 @@
 
 // renew reads the configuration again after SIGHUP and passes the address of discovery on; the rest of it
 // holds from the next start. A file that makes no sense changes nothing.
-func renew(env func(string) string, discovery func(string), log *slog.Logger) {
+func renew(env func(string) string, watch func(address string), log *slog.Logger) {
 	cfg, _, err := load(env)
 	if err == nil { // the proxy would leave an address that works for one that can't
 		err = checkAddress(cfg.Discovery)
@@ -74,7 +75,7 @@
 		return
 	}
 	log.Info("new configuration", "discovery", cfg.Discovery)
-	discovery(cfg.Discovery)
+	watch(cfg.Discovery)
 }
 
 func checkAddress(addr string) error {
@@ -154,7 +155,7 @@
 		return cfg, file.Limits, fmt.Errorf("settings: %w", err)
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if cfg.Known, err = proxy.ParseList(file.Known); err != nil {
+		if cfg.Known, err = discovery.ParseList(file.Known); err != nil {
 			return cfg, file.Limits, fmt.Errorf("known: %w", err)
 		}
 	}
--- /dev/null
+++ b/internal/discovery/zones.go
@@ -0,0 +1,50 @@
+package discovery
+
+import (
+	"hash/fnv"
+	"io"
+
+	"fernlanding/logic"
+)
+
+// Zones numbers zones by name: the settings' own from 0, any other by a hash, so that names without end leave
+// nothing behind.
+type Zones map[string]int
+
+// NewZones numbers the zones that the settings name.
+func NewZones(names []string) Zones {
+	z := make(Zones, len(names))
+	for i, name := range names {
+		z[name] = i
+	}
+	return z
+}
+
+func (z Zones) number(name string) int {
+	if n, ok := z[name]; ok {
+		return n
+	}
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, name) // never fails
+	return len(z) + int(h.Sum32()>>1)
+}
+
+// Servers turns entries into the decision module's. Its clock has to show Unix time in microseconds, since the start
+// times of backends are handed on as such.
+func (z Zones) Servers(entries []Endpoint) []logic.Server {
+	out := make([]logic.Server, 0, len(entries))
+	for _, e := range entries {
+		s := logic.Server{ID: e.Name, Zone: z.number(e.Zone), Cell: e.Group, Size: 1, Launched: e.SinceMs * 1000}
+		switch e.Status {
+		case Serving:
+			s.State = logic.Ready
+		case Draining:
+			s.State = logic.Draining
+		}
+		if e.Weight != nil {
+			s.Size = *e.Weight
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/logic"
 )
 
@@ -120,7 +121,7 @@
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
 // drained or gone are closed: nothing new is to go there, or the process at their other end is no more.
-func (p *backends) apply(full bool, entries []endpoint) {
+func (p *backends) apply(full bool, entries []discovery.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
@@ -131,13 +132,13 @@
 			b = &backend{name: e.Name}
 			p.byName[e.Name] = b
 		}
-		if serving := e.Status == statusServing; b.addr != e.Address || b.started != e.SinceMs || b.serving != serving ||
+		if serving := e.Status == discovery.Serving; b.addr != e.Address || b.started != e.SinceMs || b.serving != serving ||
 			b.zone != e.Zone || b.group != e.Group {
 			b.addr, b.started, b.serving, b.ready = e.Address, e.SinceMs, serving, serving && !p.out[e.Name]
 			b.zone, b.group = e.Zone, e.Group
 			p.turn(b)
 		}
-		if e.Status == statusDeleted {
+		if e.Status == discovery.Deleted {
 			delete(p.byName, e.Name)
 		}
 	}
--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/backend_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/logic"
 )
 
@@ -106,15 +107,15 @@
 	return func(io.Writer, *http.Request, int) bool { <-over; return false }
 }
 
-func entry(name, addr, status string) endpoint {
-	return endpoint{Name: name, Address: addr, Zone: "a", Status: status}
+func entry(name, addr string, status discovery.Status) discovery.Endpoint {
+	return discovery.Endpoint{Name: name, Address: addr, Zone: "a", Status: status}
 }
 
 func poolWith(most int, addrs ...string) *backends {
 	p := newBackends(5*time.Second, 40*time.Second, most)
-	var list []endpoint
+	var list []discovery.Endpoint
 	for i, a := range addrs {
-		list = append(list, entry(string(rune('a'+i)), a, statusServing))
+		list = append(list, entry(string(rune('a'+i)), a, discovery.Serving))
 	}
 	p.apply(true, list)
 	return p
@@ -427,22 +428,24 @@
 // A dial takes time. In it the backend may drain, or the request's time may run out; nothing is sent then.
 func TestNothingIsSentAfterADialThatTookTooLong(t *testing.T) {
 	for name, meanwhile := range map[string]func(p *backends, a *attempt){
-		"drained": func(p *backends, a *attempt) { p.apply(false, []endpoint{entry("a", a.addr, statusDraining)}) },
-		"gone":    func(p *backends, a *attempt) { p.apply(true, nil) },
+		"drained": func(p *backends, a *attempt) {
+			p.apply(false, []discovery.Endpoint{entry("a", a.addr, discovery.Draining)})
+		},
+		"gone": func(p *backends, a *attempt) { p.apply(true, nil) },
 		"restarted": func(p *backends, a *attempt) {
-			e := entry("a", a.addr, statusServing)
+			e := entry("a", a.addr, discovery.Serving)
 			e.SinceMs = 7
-			p.apply(false, []endpoint{e})
+			p.apply(false, []discovery.Endpoint{e})
 		},
 		"in another zone": func(p *backends, a *attempt) {
-			e := entry("a", a.addr, statusServing)
+			e := entry("a", a.addr, discovery.Serving)
 			e.Zone = "b"
-			p.apply(false, []endpoint{e})
+			p.apply(false, []discovery.Endpoint{e})
 		},
 		"in another group": func(p *backends, a *attempt) {
-			e := entry("a", a.addr, statusServing)
+			e := entry("a", a.addr, discovery.Serving)
 			e.Group = 7
-			p.apply(false, []endpoint{e})
+			p.apply(false, []discovery.Endpoint{e})
 		},
 		"stopped": func(_ *backends, a *attempt) { a.stop() },
 		"late":    func(_ *backends, a *attempt) { a.deadline = time.Now() },
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 )
 
@@ -72,7 +73,7 @@
 
 func withBackend(t *testing.T, b *fakeBackend) *running {
 	t.Helper()
-	return startProxy(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", b.addr, statusServing)))
+	return startProxy(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", b.addr, discovery.Serving)))
 }
 
 // Long bodies pass both ways unchanged, in every framing and however they are cut, on a connection that is kept.
@@ -218,7 +219,7 @@
 	}
 	cfg := Config{Listen: "127.0.0.1:0", Discovery: startDiscovery(t).addr, Seed: 7, Sockets: 1024, MemoryMB: 32,
 		Site: site, Log: slog.New(slog.DiscardHandler)}
-	if cfg.Known, err = ParseList([]byte(listText(1, true, listed("a", b.addr, statusServing)))); err != nil {
+	if cfg.Known, err = discovery.ParseList([]byte(listText(1, true, listed("a", b.addr, discovery.Serving)))); err != nil {
 		t.Fatal(err)
 	}
 	p := start(t, cfg)
@@ -405,7 +406,7 @@
 		var refused atomic.Int32
 		a := startRawBackend(t, func(w io.Writer, r *http.Request) bool { refused.Add(1); return full(w, r) })
 		b := startReader(t, echo)
-		p := startProxy(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", a.addr, statusServing), listed("b", b.addr, statusServing)))
+		p := startProxy(t, startDiscovery(t).addr, 400, listText(1, true, listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving)))
 		for i := 0; refused.Load() == 0 && i < 200; i++ {
 			cl := connect(t, p)
 			body := text(c.size)
--- a/internal/proxy/console_test.go
+++ b/internal/proxy/console_test.go
@@ -17,21 +17,22 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
 
 // startWithConsole starts a proxy that operators can call, in a folder that it may share with others; listen is the
 // clients' address.
-func startWithConsole(t *testing.T, dir, listen, discovery string, entries ...string) *running {
+func startWithConsole(t *testing.T, dir, listen, watched string, entries ...string) *running {
 	t.Helper()
 	site, err := settings.Decode([]byte(siteText))
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := Config{Name: "n0", Listen: listen, Console: "127.0.0.1:0", TempDir: dir, Discovery: discovery, Seed: 7,
+	cfg := Config{Name: "n0", Listen: listen, Console: "127.0.0.1:0", TempDir: dir, Discovery: watched, Seed: 7,
 		Sockets: 400, Site: site, Log: slog.New(slog.DiscardHandler)}
-	if cfg.Known, err = ParseList([]byte(listText(1, true, entries...))); err != nil {
+	if cfg.Known, err = discovery.ParseList([]byte(listText(1, true, entries...))); err != nil {
 		t.Fatal(err)
 	}
 	return start(t, cfg)
@@ -42,7 +43,7 @@
 	t.Helper()
 	a, b = startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	return startWithConsole(t, t.TempDir(), "127.0.0.1:0", startDiscovery(t).addr,
-		listed("a", a.addr, statusServing), listed("b", b.addr, statusServing)), a, b
+		listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving)), a, b
 }
 
 // dial opens a connection to an address; it ends with the test.
@@ -145,7 +146,10 @@
 	if got := p.health(t); got != 200 {
 		t.Errorf("health is %d", got)
 	}
-	if st := p.shared.now; len(st.Detached) != 0 || st.LameDuck {
+	p.shared.mu.Lock() // another goroutine looks for news from other processes
+	st := p.shared.now
+	p.shared.mu.Unlock()
+	if len(st.Detached) != 0 || st.LameDuck {
 		t.Errorf("what operators said: %+v", st)
 	}
 	for _, text := range []string{"what is this\r\n\r\n", "GET /_ready HTTP/1.1\r\n\r\n", // no Host
@@ -207,7 +211,7 @@
 func TestADetachedBackendGetsNothing(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	d := startDiscovery(t)
-	both := []string{listed("a", a.addr, statusServing), listed("b", b.addr, statusServing)}
+	both := []string{listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving)}
 	p := startWithConsole(t, t.TempDir(), "127.0.0.1:0", d.addr, both...)
 	p.asks(t, 40)
 	if a.requests.Load() == 0 {
@@ -220,7 +224,7 @@
 	}
 	came := a.requests.Load()
 	for i, text := range []string{listText(5, true, both...),
-		listText(6, false, listed("a", a.addr, statusDeleted)), listText(7, false, both[0])} {
+		listText(6, false, listed("a", a.addr, discovery.Deleted)), listText(7, false, both[0])} {
 		d.say <- text
 		waitUntil(t, func() bool { return strings.HasPrefix(wait(t, "call", d.calls), fmt.Sprintf("from=%d&", 5+i)) })
 		if ok := p.asks(t, 40); ok != 40 || a.requests.Load() != came {
@@ -238,7 +242,7 @@
 func TestLameDuckEmptiesTheProxyAndComesBack(t *testing.T) {
 	release := make(chan struct{})
 	b := startBackend(t, holds(release))
-	p := startWithConsole(t, t.TempDir(), "127.0.0.1:0", startDiscovery(t).addr, listed("a", b.addr, statusServing))
+	p := startWithConsole(t, t.TempDir(), "127.0.0.1:0", startDiscovery(t).addr, listed("a", b.addr, discovery.Serving))
 	idle, held := connect(t, p), connect(t, p)
 	idle.send(t, look("1", 8000))
 	idle.answer(t)
@@ -293,7 +297,7 @@
 func TestANewVersionTakesOver(t *testing.T) {
 	a, b, c := startBackend(t, says(served, true)), startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	d, dir := startDiscovery(t), t.TempDir()
-	entries := []string{listed("a", a.addr, statusServing), listed("b", b.addr, statusServing), listed("c", c.addr, statusServing)}
+	entries := []string{listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving), listed("c", c.addr, discovery.Serving)}
 	old := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entries...)
 	before := old.most()
 	if got := operate(t, old, "POST /_backends/detach", "a"); got != 200 {
@@ -411,7 +415,7 @@
 	if cfg.Site, err = settings.Decode([]byte(siteText)); err != nil {
 		return err
 	}
-	if cfg.Known, err = ParseList([]byte(os.Getenv("PROXY_KNOWN"))); err != nil {
+	if cfg.Known, err = discovery.ParseList([]byte(os.Getenv("PROXY_KNOWN"))); err != nil {
 		return err
 	}
 	cfg.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -427,7 +431,7 @@
 func TestAKillInMidUpgradeLeavesOneWhole(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	d, dir := startDiscovery(t), t.TempDir()
-	entries := []string{listed("a", a.addr, statusServing), listed("b", b.addr, statusServing)}
+	entries := []string{listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving)}
 	old := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entries...)
 	before := old.most()
 	operate(t, old, "POST /_backends/detach", "a")
@@ -484,7 +488,7 @@
 				t.Fatal(err)
 			}
 			b := startBackend(t, says(served, true))
-			p := startWithConsole(t, dir, "127.0.0.1:0", startDiscovery(t).addr, listed("a", b.addr, statusServing))
+			p := startWithConsole(t, dir, "127.0.0.1:0", startDiscovery(t).addr, listed("a", b.addr, discovery.Serving))
 			if ok := p.asks(t, 1); ok != 1 {
 				t.Error("not served")
 			}
@@ -506,7 +510,7 @@
 func TestAStartFindsWhatOperatorsSaid(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	d, dir := startDiscovery(t), t.TempDir()
-	entries := []string{listed("a", a.addr, statusServing), listed("b", b.addr, statusServing)}
+	entries := []string{listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving)}
 	p := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entries...)
 	operate(t, p, "POST /_backends/detach", "a")
 	operate(t, p, "POST /_lameduck/on", "")
@@ -525,7 +529,7 @@
 func TestANewVersionKnowsWhatTheOldOneLearned(t *testing.T) {
 	b := startBackend(t, says(served, true))
 	d, dir := startDiscovery(t), t.TempDir()
-	entry := listed("a", b.addr, statusServing)
+	entry := listed("a", b.addr, discovery.Serving)
 	old := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entry)
 	learned := func(p *running) logic.Learned {
 		got := make(chan logic.Learned, 1)
@@ -556,7 +560,7 @@
 		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n%s", text(300_000))
 	})
 	d, dir := startDiscovery(t), t.TempDir()
-	entry := listed("a", b.addr, statusServing)
+	entry := listed("a", b.addr, discovery.Serving)
 	old := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entry)
 	uploads := make([]*client, 2)
 	for i := range uploads {
--- a/internal/proxy/crowd_test.go
+++ b/internal/proxy/crowd_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"fernlanding/internal/discovery"
 )
 
 // Idle clients hold all the descriptors that clients may have, and more of them come, while discovery is down: requests,
@@ -19,12 +21,12 @@
 		if !up.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, listText(2, true, listed("a", a.addr, statusDraining), listed("b", b.addr, statusServing)))
+		_, _ = io.WriteString(w, listText(2, true, listed("a", a.addr, discovery.Draining), listed("b", b.addr, discovery.Serving)))
 		time.Sleep(10 * time.Millisecond)
 	}))
 	defer d.Close()
 	p := startWithConsole(t, t.TempDir(), "127.0.0.1:0", strings.TrimPrefix(d.URL, "http://"),
-		listed("a", a.addr, statusServing), listed("b", b.addr, statusServing))
+		listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving))
 	most := p.front.clients.most
 	for i := range 2 * most {
 		switch c := connect(t, p); i % 3 {
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fernlanding/internal/discovery"
 )
 
 // one is the one connection of a client that the proxy has.
@@ -122,7 +124,7 @@
 		p.front.clients.Listener = gatedListener{Listener: p.front.clients.Listener, gate: func(c net.Conn) net.Conn {
 			return gatedConn{c.(*net.TCPConn), func() { close(read); <-proceed }}
 		}}
-	}, listText(1, true, listed("a", b.addr, statusServing)))
+	}, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	c := connect(t, p)
 	c.send(t, shortPost("1"))
 	wait(t, "read", read)
@@ -145,7 +147,7 @@
 		p.front.clients.Listener = gatedListener{Listener: p.front.clients.Listener,
 			gate:   func(c net.Conn) net.Conn { accepted <- struct{}{}; <-proceed; return c },
 			looked: func() { seen <- "look" }, closed: func() { seen <- "close" }}
-	}, listText(1, true, listed("a", b.addr, statusServing)))
+	}, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	first := connect(t, p)
 	wait(t, "accept", accepted)
 	second := connect(t, p) // in the queue
@@ -188,7 +190,7 @@
 	b := startBackend(t, holds(release))
 	p := startSite(t, func(p *Proxy) {
 		p.front.clients.Listener = brokenListener{p.front.clients.Listener, fail}
-	}, listText(1, true, listed("a", b.addr, statusServing)))
+	}, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	c := connect(t, p)
 	c.send(t, look("h", 8000))
 	waitUntil(t, func() bool { return b.requests.Load() == 1 })
--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 )
 
@@ -19,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	known, err := ParseList([]byte(backends))
+	known, err := discovery.ParseList([]byte(backends))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,7 +102,7 @@
 					close(accepted)
 					return c
 				}}
-			}, listText(1, true, listed("a", b.addr, statusServing)))
+			}, listText(1, true, listed("a", b.addr, discovery.Serving)))
 			c := connect(t, p)
 			c.send(t, l.request("1"))
 			l.leave(t, c)
@@ -121,7 +122,7 @@
 					<-proceed
 					return c, err
 				}
-			}, listText(1, true, listed("a", b.addr, statusServing)))
+			}, listText(1, true, listed("a", b.addr, discovery.Serving)))
 			c := connect(t, p)
 			c.send(t, l.request("1"))
 			wait(t, "dial", dialling)
@@ -146,7 +147,7 @@
 					<-proceed
 					return nil, net.ErrClosed
 				}
-			}, listText(1, true, listed("a", b.addr, statusServing), listed("b", b.addr, statusServing)))
+			}, listText(1, true, listed("a", b.addr, discovery.Serving), listed("b", b.addr, discovery.Serving)))
 			c := connect(t, p)
 			c.send(t, l.request("1"))
 			wait(t, "dial", dialling)
@@ -159,7 +160,7 @@
 			t.Parallel()
 			release := make(chan struct{})
 			b := startBackend(t, holds(release))
-			p := startSite(t, func(*Proxy) {}, listText(1, true, listed("a", b.addr, statusServing)),
+			p := startSite(t, func(*Proxy) {}, listText(1, true, listed("a", b.addr, discovery.Serving)),
 				`"name":"post"`, `"by_arrival":true,"name":"post"`)
 			first := connect(t, p)
 			first.send(t, shortPost("h"))
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/logic"
 )
 
@@ -95,10 +96,10 @@
 	bal    *logic.Balancer
 	clock  clock
 	pool   *backends
-	zones  zones
+	zones  discovery.Zones
 	log    *slog.Logger
 	events chan func()
-	lists  chan listNews
+	lists  chan discovery.Update
 	asked  chan struct{} // the module's word to subscribe
 	listed chan struct{} // closed when there is a list
 	told   chan struct{} // closed when discovery has said something
@@ -114,9 +115,9 @@
 	done     chan struct{}   // closed when the loop has ended
 }
 
-func newLoop(bal *logic.Balancer, c clock, pool *backends, z zones, log *slog.Logger) *loop {
+func newLoop(bal *logic.Balancer, c clock, pool *backends, z discovery.Zones, log *slog.Logger) *loop {
 	return &loop{bal: bal, clock: c, pool: pool, zones: z, log: log, events: make(chan func(), 256),
-		lists: make(chan listNews), asked: make(chan struct{}, 1), listed: make(chan struct{}), told: make(chan struct{}),
+		lists: make(chan discovery.Update), asked: make(chan struct{}, 1), listed: make(chan struct{}), told: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
 }
 
@@ -134,14 +135,14 @@
 	for {
 		// What discovery told comes before all else: nothing may go to a backend known to drain.
 		select {
-		case n := <-l.lists:
-			l.list(n)
+		case u := <-l.lists:
+			l.list(u)
 			continue
 		default:
 		}
 		select {
-		case n := <-l.lists:
-			l.list(n)
+		case u := <-l.lists:
+			l.list(u)
 		case f := <-l.events:
 			f()
 		case <-alarm.C:
@@ -190,16 +191,16 @@
 }
 
 // list applies what discovery said, to the connections first and then to the module.
-func (l *loop) list(n listNews) {
+func (l *loop) list(u discovery.Update) {
 	kind := logic.Delta
-	if n.list == nil {
+	if u.List == nil {
 		l.bal.List(l.clock.now(), l, logic.Failed, nil)
 		return
 	}
-	if n.list.full {
+	if u.List.Snapshot {
 		kind = logic.Full
 	}
-	l.apply(kind, n.list)
+	l.apply(kind, u.List)
 	l.settle()
 	select {
 	case <-l.told:
@@ -226,13 +227,13 @@
 	l.out = out
 }
 
-func (l *loop) apply(kind logic.ListKind, list *List) {
-	l.pool.apply(kind != logic.Delta, list.endpoints)
-	l.bal.List(l.clock.now(), l, kind, l.zones.servers(list.endpoints))
+func (l *loop) apply(kind logic.ListKind, list *discovery.List) {
+	l.pool.apply(kind != logic.Delta, list.Endpoints)
+	l.bal.List(l.clock.now(), l, kind, l.zones.Servers(list.Endpoints))
 	select {
 	case <-l.listed:
 	default:
-		if kind == logic.Full || len(list.endpoints) > 0 {
+		if kind == logic.Full || len(list.Endpoints) > 0 {
 			close(l.listed)
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
@@ -41,9 +42,9 @@
 	Discovery string
 	TempDir   string // what all processes of this proxy share; nothing is if empty
 	Seed      uint64
-	Sockets   int     // descriptors that the process may hold
-	MemoryMB  float64 // that it may hold; 0 if it is not told
-	Known     *List   // the list as last known; may be nil
+	Sockets   int             // descriptors that the process may hold
+	MemoryMB  float64         // that it may hold; 0 if it is not told
+	Known     *discovery.List // the list as last known; may be nil
 	Site      *settings.Site
 	Log       *slog.Logger
 }
@@ -81,7 +82,7 @@
 		sh = &shared{log: cfg.Log}
 	}
 	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends),
-		newZones(cfg.Site.Zones), cfg.Log)
+		discovery.NewZones(cfg.Site.Zones), cfg.Log)
 	p := &Proxy{cfg: cfg, loop: l, shared: sh, renews: make(chan string), opened: make(chan struct{}),
 		front: newFrontend(cfg.Site, l, forClients, cfg.Log)}
 	if cfg.Console != "" {
@@ -247,9 +248,9 @@
 }
 
 // Renew takes the address of discovery that a new configuration names. It may be called while Run does its work.
-func (p *Proxy) Renew(discovery string) {
+func (p *Proxy) Renew(address string) {
 	select {
-	case p.renews <- discovery:
+	case p.renews <- address:
 	case <-p.loop.done:
 	}
 }
@@ -259,15 +260,16 @@
 // follows the new. Until the new one has answered the old list stands.
 func (p *Proxy) watch(ctx context.Context) {
 	subscribe := p.cfg.Site.Logic.Subscribe && p.cfg.Known != nil // with no list at all nobody says when to ask
-	known := int64(-1)
+	known := discovery.NoVersion
 	if p.cfg.Known != nil {
-		known = p.cfg.Known.index
+		known = p.cfg.Known.Index
 	}
-	for addr := p.cfg.Discovery; ctx.Err() == nil; known, subscribe = -1, false {
+	for addr := p.cfg.Discovery; ctx.Err() == nil; known, subscribe = discovery.NoVersion, false {
 		one, stop := context.WithCancel(ctx)
-		d, first := newDiscovery(addr, known, p.cfg.Site.Logic.Subscribe, p.cfg.Log, p.loop.lists, p.loop.asked), subscribe
+		client := discovery.NewClient(discovery.Options{Address: addr, Known: known, Ask: p.cfg.Site.Logic.Subscribe,
+			AwaitRequest: subscribe, Updates: p.loop.lists, Requests: p.loop.asked, Log: p.cfg.Log})
 		var part sync.WaitGroup
-		part.Go(func() { d.run(one, p.cfg.Site.Logic.Subscribe, first) })
+		part.Go(func() { client.Run(one) })
 		addr = p.renewed(ctx, addr)
 		stop()
 		part.Wait()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
 )
 
@@ -63,7 +64,7 @@
 	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, index, full, strings.Join(entries, ","))
 }
 
-func listed(name, addr, status string) string {
+func listed(name, addr string, status discovery.Status) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m","group":1,"status":%q,"weight":1,"since_ms":0}`,
 		name, addr, status)
 }
@@ -75,16 +76,16 @@
 	done chan error
 }
 
-func startProxy(t *testing.T, discovery string, sockets int, known string) *running {
+func startProxy(t *testing.T, watched string, sockets int, known string) *running {
 	t.Helper()
 	site, err := settings.Decode([]byte(siteText))
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := Config{Listen: "127.0.0.1:0", Discovery: discovery, Seed: 7, Sockets: sockets, Site: site,
+	cfg := Config{Listen: "127.0.0.1:0", Discovery: watched, Seed: 7, Sockets: sockets, Site: site,
 		Log: slog.New(slog.DiscardHandler)}
 	if known != "" {
-		if cfg.Known, err = ParseList([]byte(known)); err != nil {
+		if cfg.Known, err = discovery.ParseList([]byte(known)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -114,7 +115,7 @@
 func serving(t *testing.T, reply func(io.Writer, *http.Request, int) bool) (*running, *fakeBackend) {
 	t.Helper()
 	b := startBackend(t, reply)
-	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, statusServing))), b
+	return startProxy(t, startDiscovery(t).addr, 200, listText(1, true, listed("a", b.addr, discovery.Serving))), b
 }
 
 // client is one connection of a client.
@@ -382,7 +383,7 @@
 func crowded(t *testing.T, reply func(io.Writer, *http.Request, int) bool) (p *running, most int) {
 	t.Helper()
 	b := startBackend(t, reply)
-	p = startProxy(t, startDiscovery(t).addr, 80, listText(1, true, listed("a", b.addr, statusServing)))
+	p = startProxy(t, startDiscovery(t).addr, 80, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	return p, p.front.clients.most
 }
 
@@ -467,12 +468,12 @@
 	if got := health(); got != 503 {
 		t.Errorf("healthy without a list: %d", got)
 	}
-	d.say <- listText(5, true, listed("a", a.addr, statusServing))
+	d.say <- listText(5, true, listed("a", a.addr, discovery.Serving))
 	query("from=5&hold_ms=2000")
 	if got := health(); got != 200 {
 		t.Errorf("not healthy with a list: %d", got)
 	}
-	for _, nonsense := range []string{`{"index":6,"snap`, listText(6, false, listed("a", "nowhere", statusServing)),
+	for _, nonsense := range []string{`{"index":6,"snap`, listText(6, false, listed("a", "nowhere", discovery.Serving)),
 		listText(6, false, listed("a", a.addr, "RESTING")), ""} {
 		d.say <- nonsense
 		if nonsense == "" {
@@ -480,13 +481,13 @@
 		} else {
 			query("")
 		}
-		d.say <- listText(5, true, listed("a", a.addr, statusServing))
+		d.say <- listText(5, true, listed("a", a.addr, discovery.Serving))
 		query("from=5&hold_ms=2000")
 		if got := ask("x"); got != 200 {
 			t.Errorf("after %q: %d", nonsense, got)
 		}
 	}
-	d.say <- listText(7, false, listed("a", a.addr, statusDraining), listed("b", b.addr, statusServing))
+	d.say <- listText(7, false, listed("a", a.addr, discovery.Draining), listed("b", b.addr, discovery.Serving))
 	query("from=7&hold_ms=2000")
 	served := a.requests.Load()
 	for i := range 20 {
@@ -510,7 +511,7 @@
 			t.Fatalf("call %d asked %q, want %q", i, got, want)
 		}
 		if i%2 == 0 {
-			d.say <- listText(5+i/2, true, listed("a", a.addr, statusServing))
+			d.say <- listText(5+i/2, true, listed("a", a.addr, discovery.Serving))
 		}
 	}
 	c := connect(t, p)
@@ -526,13 +527,13 @@
 func TestAWatchIsOpenWhenDiscoveryReturns(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
 	d := startDiscovery(t)
-	p := startProxy(t, d.addr, 200, listText(3, true, listed("a", a.addr, statusServing), listed("b", b.addr, statusServing)))
+	p := startProxy(t, d.addr, 200, listText(3, true, listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving)))
 	for i, want := range []string{"", "from=3&hold_ms=2000", "from=3&hold_ms=2000"} { // down until the last
 		if got := wait(t, "call", d.calls); got != want {
 			t.Fatalf("call %d asked %q, want %q", i, got, want)
 		}
 	}
-	d.say <- listText(4, false, listed("a", a.addr, statusDraining))
+	d.say <- listText(4, false, listed("a", a.addr, discovery.Draining))
 	if got := wait(t, "call", d.calls); got != "from=4&hold_ms=2000" {
 		t.Fatalf("then asked %q", got)
 	}
@@ -553,7 +554,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	known, err := ParseList([]byte(listText(5, true, listed("a", a.addr, statusServing))))
+	known, err := discovery.ParseList([]byte(listText(5, true, listed("a", a.addr, discovery.Serving))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -584,7 +585,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	known, err := ParseList([]byte(listText(5, true, listed("a", a.addr, statusServing), listed("b", b.addr, statusServing))))
+	known, err := discovery.ParseList([]byte(listText(5, true, listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Serving))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -594,7 +595,7 @@
 	silent := time.Now()
 	wait(t, "call for the whole list", d.calls)
 	wait(t, "call after that was given up", d.calls)
-	d.say <- listText(6, true, listed("a", a.addr, statusServing), listed("b", b.addr, statusDraining))
+	d.say <- listText(6, true, listed("a", a.addr, discovery.Serving), listed("b", b.addr, discovery.Draining))
 	waitUntil(t, func() bool { _, _, _, ok := p.loop.pool.find("b"); return !ok })
 	if took := time.Since(silent); took > 6*time.Second {
 		t.Errorf("told after %v", took)
@@ -614,7 +615,7 @@
 	for range 5 {
 		d.say <- ""
 	}
-	d.say <- listText(1, true, listed("a", a.addr, statusServing))
+	d.say <- listText(1, true, listed("a", a.addr, discovery.Serving))
 	began := time.Now()
 	p := start(t, Config{Listen: "127.0.0.1:0", Discovery: d.addr, Seed: 7, Sockets: 200, Site: site,
 		Log: slog.New(slog.DiscardHandler)})
@@ -628,7 +629,7 @@
 func TestAListOfAThousandBackends(t *testing.T) {
 	t.Parallel()
 	b, d := startBackend(t, says(served, true)), startDiscovery(t)
-	list := func(index int, full bool, status string) string {
+	list := func(index int, full bool, status discovery.Status) string {
 		var entries []string
 		for i := range 1024 {
 			entries = append(entries, listed(fmt.Sprintf("s-%08x", i), b.addr, status))
@@ -639,13 +640,13 @@
 		}
 		return text.String()
 	}
-	d.say <- list(1, true, statusServing)
+	d.say <- list(1, true, discovery.Serving)
 	p := startProxy(t, d.addr, 200, "")
 	waitUntil(t, func() bool { return p.health(t) == http.StatusOK })
 	if ok := p.asks(t, 200); ok != 200 {
 		t.Errorf("%d of 200 served", ok)
 	}
-	d.say <- list(2, false, statusDraining)
+	d.say <- list(2, false, discovery.Draining)
 	waitUntil(t, func() bool { _, _, _, ok := p.loop.pool.find("s-000003ff"); return !ok })
 	c := connect(t, p)
 	c.send(t, look("1", 4000))
@@ -654,25 +655,14 @@
 	}
 }
 
-// Discovery went down under all proxies at once, and each asked again at the same instants.
-func TestRetriesAreSpread(t *testing.T) {
-	seen := map[time.Duration]bool{}
-	for range 100 {
-		w := jitter(retryMost)
-		if seen[w] = true; w < retryMost/2 || w > retryMost {
-			t.Fatalf("waits %v", w)
-		}
-	}
-	if len(seen) < 50 {
-		t.Errorf("%d different waits of 100", len(seen))
-	}
-}
+// watchPatience is how long the discovery client waits for a pushed answer beyond the wait that it asked for.
+const watchPatience = 100 * time.Millisecond
 
 // An answer of discovery that breaks off or stalls in the middle changes nothing: the last list stands, and the whole
 // one is asked for again soon.
 func TestAListThatBreaksOffOrStallsIsAskedForAgain(t *testing.T) {
 	a, b := startBackend(t, says(served, true)), startBackend(t, says(served, true))
-	whole := listText(9, true, listed("b", b.addr, statusServing))
+	whole := listText(9, true, listed("b", b.addr, discovery.Serving))
 	for name, cut := range map[string]bool{"breaks off": true, "stalls": false} {
 		t.Run(name, func(t *testing.T) {
 			over := make(chan struct{})
@@ -700,13 +690,13 @@
 			}))
 			defer s.Close()
 			defer close(over)
-			p := startProxy(t, strings.TrimPrefix(s.URL, "http://"), 200, listText(1, true, listed("a", a.addr, statusServing)))
+			p := startProxy(t, strings.TrimPrefix(s.URL, "http://"), 200, listText(1, true, listed("a", a.addr, discovery.Serving)))
 			start, came := time.Now(), b.requests.Load()
 			if ok := p.asks(t, 1); ok != 1 {
 				t.Error("the last list does not stand")
 			}
 			waitUntil(t, func() bool { p.asks(t, 1); return b.requests.Load() > came })
-			if took := time.Since(start); took > pushPatience+time.Second {
+			if took := time.Since(start); took > watchPatience+time.Second {
 				t.Errorf("the present list was known after %v", took)
 			}
 		})
@@ -734,14 +724,14 @@
 		}
 	}
 	query(ds[0], "")
-	ds[0].say <- listText(50, true, listed("a", a.addr, statusServing))
+	ds[0].say <- listText(50, true, listed("a", a.addr, discovery.Serving))
 	query(ds[0], "from=50&hold_ms=2000")
 	ask("1", a)
 	p.Renew(ds[0].addr) // the same again changes nothing
 	p.Renew(ds[1].addr)
 	query(ds[1], "")
 	ask("2", a)
-	ds[1].say <- listText(3, true, listed("b", b.addr, statusServing))
+	ds[1].say <- listText(3, true, listed("b", b.addr, discovery.Serving))
 	query(ds[1], "from=3&hold_ms=2000")
 	ask("3", b)
 	for range 5 { // several in a row
@@ -750,7 +740,7 @@
 	}
 	p.Renew(ds[0].addr)
 	for range cap(ds[0].say) { // some may go to calls that have ended
-		ds[0].say <- listText(1, true, listed("a", a.addr, statusServing))
+		ds[0].say <- listText(1, true, listed("a", a.addr, discovery.Serving))
 	}
 	waitUntil(t, func() bool {
 		c := connect(t, p)
@@ -899,10 +889,10 @@
 	got := make(chan sizes, 1)
 	p.loop.post(func() {
 		for i := range 5000 {
-			e := endpoint{Name: fmt.Sprint("s", i), Address: "127.0.0.1:1", Zone: fmt.Sprint("z", i), Status: statusServing}
-			p.loop.list(listNews{&List{index: int64(i), endpoints: []endpoint{e}}})
-			e.Status = statusDeleted
-			p.loop.list(listNews{&List{index: int64(i), endpoints: []endpoint{e}}})
+			e := discovery.Endpoint{Name: fmt.Sprint("s", i), Address: "127.0.0.1:1", Zone: fmt.Sprint("z", i), Status: discovery.Serving}
+			p.loop.list(discovery.Update{List: &discovery.List{Index: int64(i), Endpoints: []discovery.Endpoint{e}}})
+			e.Status = discovery.Deleted
+			p.loop.list(discovery.Update{List: &discovery.List{Index: int64(i), Endpoints: []discovery.Endpoint{e}}})
 		}
 		p.loop.pool.mu.Lock()
 		defer p.loop.pool.mu.Unlock()
--- a/internal/proxy/repeat_test.go
+++ b/internal/proxy/repeat_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"fernlanding/internal/discovery"
 	"fernlanding/logic"
 )
 
@@ -45,7 +46,7 @@
 					time.Sleep(time.Until(first.Add(window)))
 					return dial(context.Background(), network, addr)
 				}
-			}, listText(1, true, listed("a", b.addr, statusServing)), `"dedup_window_us":9000000`, `"dedup_window_us":1000000`,
+			}, listText(1, true, listed("a", b.addr, discovery.Serving)), `"dedup_window_us":9000000`, `"dedup_window_us":1000000`,
 				`"objective_us":1000000`, `"objective_us":2600000`) // an attempt that hangs is given up later
 			c := connect(t, p)
 			c.send(t, rate("1"))
@@ -114,7 +115,7 @@
 		}
 		return true
 	})
-	p := startSite(t, func(*Proxy) {}, listText(1, true, listed("a", b.addr, statusServing)))
+	p := startSite(t, func(*Proxy) {}, listText(1, true, listed("a", b.addr, discovery.Serving)))
 	c := connect(t, p)
 	c.send(t, rate("1"))
 	if resp, _ := c.answer(t); resp.StatusCode != http.StatusOK || b.requests.Load() != 2 {
