--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The whole test suite: formatting, vet, tests, and the size limits of the policy files.
+# The whole test suite: formatting, vet, staticcheck, tests, and the size limits of the policy files.
 set -eu
 cd "$(dirname "$0")"
 
@@ -12,6 +12,7 @@
   exit 1
 fi
 go vet ./...
+go tool staticcheck ./...
 go test -race ./...
 
 policy=$(sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
