Split the connections to backends by job: pool, attempt, exchange, answer

backend.go had 734 lines and held the pool, one attempt's course, the writing of requests and the reading of answers. Four files of 115 to 343 lines hold one of these each; no code changed but two names that needed explaining (advanceEpoch, maxInformational).

--- a/internal/proxy/backend_test.go
+++ b/internal/proxy/exchange_test.go
@@ -391,7 +391,7 @@
 	}
 	aged(p, 2*time.Second)
 	send(logic.OK, 3)
-	p.turn(p.byName["a"]) // closes what is idle
+	p.advanceEpoch(p.byName["a"]) // closes what is idle
 	drop.Store(true)
 	send(logic.Reset, 4) // a new connection's reset says nothing of idle ones
 	send(logic.OK, 5)
