--- /dev/null
+++ b/internal/emulator/registry/replication.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"time"
+
+	"fernlanding/internal/discovery"
+)
+
+// delivery is what is under way between replicas: one change, or with no origin an exchange of all that each has.
+type delivery struct {
+	due       time.Time
+	origin    *replica
+	change    Change
+	endpoints []discovery.Endpoint
+}
+
+// replicate sends a change to the other replicas.
+func (s *Service) replicate(change Change, endpoints []discovery.Endpoint, origin *replica) {
+	s.send(delivery{change: change, endpoints: endpoints, origin: origin})
+}
+
+// synchronize has all replicas that reach each other exchange what they have. It follows each restart and each healed
+// link, since what was sent before has been lost.
+func (s *Service) synchronize() { s.send(delivery{}) }
+
+// send puts a delivery under way. The delay is the same for all, so they arrive in order.
+func (s *Service) send(d delivery) {
+	d.due = time.Now().Add(s.config.ReplicationDelay)
+	s.deliveries = append(s.deliveries, d)
+	time.AfterFunc(s.config.ReplicationDelay, s.deliver)
+}
+
+// deliver hands over all that is due.
+func (s *Service) deliver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for !s.isClosed() && len(s.deliveries) > 0 && !s.deliveries[0].due.After(now) {
+		d := s.deliveries[0]
+		s.deliveries = s.deliveries[1:]
+		if d.origin == nil {
+			s.exchange()
+		} else {
+			s.deliverChange(d)
+		}
+	}
+}
+
+func (s *Service) deliverChange(d delivery) {
+	for _, r := range s.replicas {
+		if r.live && s.linked(d.origin, r) {
+			r.list(d.change.List).apply(d.change.Number, d.endpoints)
+		}
+	}
+	s.dropTombstones(d.change.List)
+}
+
+func (s *Service) exchange() {
+	for _, from := range s.replicas {
+		for _, to := range s.replicas {
+			if from != to && from.live && to.live && s.linked(from, to) {
+				to.merge(from)
+			}
+		}
+	}
+	for name := range s.replicas[0].lists {
+		s.dropTombstones(name)
+	}
+}
+
+// dropTombstones forgets what has been deleted from a list, as far as no replica misses a change up to there.
+func (s *Service) dropTombstones(list string) {
+	settled := s.number
+	for _, r := range s.replicas {
+		settled = min(settled, r.list(list).complete())
+	}
+	for _, r := range s.replicas {
+		r.list(list).dropTombstones(settled)
+	}
+}
