--- a/internal/emulator/registry/conn.go
+++ b/internal/emulator/registry/conn.go
@@ -19,13 +19,13 @@
 // back.
 type conn struct {
 	net.Conn
-	service *Service
-	client  *client
-	replica *replica // that answers it, where the list is asked for; nil: none, as it came from behind a cut
-	counted atomic.Pointer[replica]
-	silent  atomic.Bool
-	ended   chan struct{}
-	end     sync.Once
+	service   *Service
+	client    *client
+	replica   *replica                // that answers it, where the list is asked for; nil: none, as it came from behind a cut
+	countedBy atomic.Pointer[replica] // whose usage its bytes are
+	silent    atomic.Bool
+	ended     chan struct{}
+	end       sync.Once
 
 	watching bool // a watch waits on it
 }
@@ -33,7 +33,7 @@
 // Read reads what the client sends.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if r := c.counted.Load(); r != nil {
+	if r := c.countedBy.Load(); r != nil {
 		r.usage.addBytesIn(n)
 	}
 	return n, err
@@ -45,7 +45,7 @@
 		return len(p), nil
 	}
 	n, err := c.Conn.Write(p)
-	if r := c.counted.Load(); r != nil {
+	if r := c.countedBy.Load(); r != nil {
 		r.usage.addBytesOut(n)
 	}
 	return n, err
--- a/internal/emulator/registry/handler.go
+++ b/internal/emulator/registry/handler.go
@@ -50,7 +50,7 @@
 }
 
 func refuse(w http.ResponseWriter, c *conn) {
-	if r := c.counted.Load(); r != nil {
+	if r := c.countedBy.Load(); r != nil {
 		r.usage.addRefused()
 	}
 	http.Error(w, "busy", http.StatusServiceUnavailable)
--- a/internal/emulator/registry/helpers_test.go
+++ b/internal/emulator/registry/helpers_test.go
@@ -183,10 +183,14 @@
 }
 
 // caller makes single calls, each on a connection of its own.
-type caller struct{ http http.Client }
+type caller struct {
+	http      http.Client
+	transport *http.Transport
+}
 
 func newCaller(dial discovery.Dialer) *caller {
-	return &caller{http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	return &caller{http: http.Client{Transport: transport}, transport: transport}
 }
 
 // get makes a call with a query, or none if it is empty.
--- a/internal/emulator/registry/listen.go
+++ b/internal/emulator/registry/listen.go
@@ -97,13 +97,12 @@
 			return syscall.ECONNREFUSED
 		}
 		c.replica = s.nearest(c.client.at)
-		if c.replica == nil {
-			c.silent.Store(true)
-		} else {
+		c.silent.Store(c.replica == nil)
+		if c.replica != nil {
 			c.replica.load++
-			c.counted.Store(c.replica)
 		}
 	}
+	c.countedBy.Store(s.replicaFor(c))
 	s.conns = append(s.conns, c)
 	return nil
 }
--- /dev/null
+++ b/internal/emulator/registry/listen_test.go
@@ -0,0 +1,98 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+)
+
+// dialTCP is a dialer to a listener's address.
+func dialTCP(address string) discovery.Dialer {
+	return func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+}
+
+func listen(t *testing.T, s *Service, at Location) *caller {
+	t.Helper()
+	address, err := s.Listen(list, at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newCaller(dialTCP(address))
+}
+
+// Over TCP, a killed replica resets its connections and the next one comes to another replica.
+func TestKilledReplicaResetsTCP(t *testing.T) {
+	arrived := make(chan Observation, 16)
+	config := testConfig(true)
+	config.ReplicationDelay = 0
+	config.Observe = func(o Observation) { arrived <- o }
+	s := start(t, config)
+	c := listen(t, s, inEast)
+	version := c.ask(t, "").Index
+	<-arrived
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := c.get(t.Context(), discovery.MembersPath+fromVersion(version, time.Minute))
+		ended <- err
+	}()
+	<-arrived
+	do(t, s.Kill("r1"))
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the watch ended with %v", err)
+	}
+	publish(t, s, "east", serving("s-1"))
+	if l := c.ask(t, fromVersion(version, time.Minute)); !l.Snapshot || len(l.Endpoints) != 1 {
+		t.Errorf("the next replica tells %s", toJSON(t, l))
+	}
+}
+
+// A thousand clients watch over TCP and are all told of a change.
+func TestManyClientsOverTCP(t *testing.T) {
+	const clients = 1000
+	config := testConfig(true)
+	config.ReplicationDelay = 0
+	var waiting sync.WaitGroup // until every client's watch has arrived
+	waiting.Add(clients)
+	config.Observe = func(o Observation) {
+		if o.Complete != NothingKnown {
+			waiting.Done()
+		}
+	}
+	s := start(t, config)
+	var told sync.WaitGroup
+	for i := range clients {
+		at := oneInEachZone()[i%5]
+		at.Name += strconv.Itoa(i)
+		c := listen(t, s, at)
+		c.transport.DisableKeepAlives = false // or the second call may go to another replica
+		told.Go(func() {
+			version := c.ask(t, "").Index
+			if l := c.ask(t, fromVersion(version, time.Minute)); len(l.Endpoints) != 1 {
+				t.Errorf("client %d was told %s", i, toJSON(t, l))
+			}
+		})
+	}
+	waiting.Wait()
+	publish(t, s, "west", serving("s-1"))
+	told.Wait()
+}
+
+func TestListenAfterClose(t *testing.T) {
+	s := start(t, testConfig(true))
+	s.Close()
+	if _, err := s.Listen(list, inEast); err == nil {
+		t.Error("a closed service listens")
+	}
+	if _, err := s.Dialer(list, inEast)(t.Context(), "tcp", "registry:80"); err == nil {
+		t.Error("a closed service takes connections")
+	}
+}
--- a/internal/emulator/registry/routing.go
+++ b/internal/emulator/registry/routing.go
@@ -62,7 +62,7 @@
 		return c.replica
 	}
 	s.attach(c.client)
-	c.counted.Store(c.client.follows)
+	c.countedBy.Store(c.client.follows)
 	return c.client.follows
 }
 
