--- a/internal/emulator/registry/faults_test.go
+++ b/internal/emulator/registry/faults_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// A replica that starts again has all that its peers have before it answers anyone.
+func TestRestartedReplicaHasTheList(t *testing.T) {
+	inBothModes(t, func(t *testing.T, ask bool) {
+		s := start(t, testConfig(ask))
+		do(t, s.Kill("r1"))
+		publish(t, s, "west", serving("s-1"))
+		after(replication + moment)
+		do(t, s.Restart("r1"))
+		if l := newCaller(s.Dialer(list, inEast)).ask(t, ""); len(l.Endpoints) != 1 {
+			t.Errorf("it tells %s", toJSON(t, l))
+		}
+		if got := s.Usage()[0].Calls; got != 1 {
+			t.Errorf("it has answered %d calls", got)
+		}
+	})
+}
+
 func TestFaultsOfUnknownReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := start(t, testConfig(true))
--- a/internal/emulator/registry/registry_test.go
+++ b/internal/emulator/registry/registry_test.go
@@ -52,3 +52,22 @@
 		}
 	})
 }
+
+// Of two changes of one endpoint that cross on their way, the one accepted later wins everywhere.
+func TestChangesThatCross(t *testing.T) {
+	inBothModes(t, func(t *testing.T, ask bool) {
+		s := start(t, testConfig(ask))
+		watchers := watchEverywhere(t, s)
+		earlier, later := serving("s-1"), serving("s-1")
+		earlier.Zone, later.Zone = "earlier", "later"
+		publish(t, s, "east", earlier)
+		after(replication / 2)
+		publish(t, s, "west", later)
+		after(replication + moment)
+		for i, w := range watchers {
+			if zone := w.list()["s-1"].Zone; zone != "later" {
+				t.Errorf("watcher %d has the change %q", i, zone)
+			}
+		}
+	})
+}
