--- a/internal/emulator/registry/conn.go
+++ b/internal/emulator/registry/conn.go
@@ -89,8 +89,8 @@
 	return false
 }
 
-// stayMute leaves a call without an answer until its connection ends.
-func (c *conn) stayMute(ctx context.Context) {
+// awaitEnd leaves a call without an answer until its connection ends.
+func (c *conn) awaitEnd(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-c.ended:
--- a/internal/emulator/registry/faults.go
+++ b/internal/emulator/registry/faults.go
@@ -67,7 +67,13 @@
 
 // SilenceWatches leaves all watches that wait now without an answer for ever, and their connections silent.
 func (s *Service) SilenceWatches() {
-	s.silence(func(c *conn) bool { return c.watching })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c.watching {
+			c.silent.Store(true)
+		}
+	}
 }
 
 // RefuseCalls has a part of all calls refused, from now on; 0 ends it.
@@ -123,15 +129,6 @@
 	resetAll(waited)
 }
 
-func (s *Service) silence(which func(*conn) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.connsWhere(which) {
-		c.silent.Store(true)
-	}
-	s.topologyChanged()
-}
-
 func (s *Service) connsWhere(which func(*conn) bool) []*conn {
 	var found []*conn
 	for _, c := range s.conns {
--- a/internal/emulator/registry/faults_test.go
+++ b/internal/emulator/registry/faults_test.go
@@ -280,6 +280,7 @@
 		queries := map[string]string{"whole": "", "short": fromVersion(version, 2*time.Second),
 			"long": fromVersion(version, 20*time.Second)}
 		do(t, s.Kill("r1"))
+		s.RefuseCalls(1) // and it does not even refuse
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
 		defer cancel()
 		for name := range outcomes {
--- a/internal/emulator/registry/handler.go
+++ b/internal/emulator/registry/handler.go
@@ -24,7 +24,7 @@
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
 	ctx, c := r.Context(), connOf(r.Context())
 	if c.silent.Load() {
-		c.stayMute(ctx)
+		c.awaitEnd(ctx)
 		return
 	}
 	asked, status, err := parseCall(r)
@@ -42,7 +42,7 @@
 	}
 	answer := s.awaitAnswer(ctx, c, asked)
 	if answer == nil {
-		c.stayMute(ctx)
+		c.awaitEnd(ctx)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -104,11 +104,11 @@
 // arrive counts a call, tells the observer of it, and gives what the faults in force do to it.
 func (s *Service) arrive(c *conn, asked call, valid bool) (delay time.Duration, refused bool) {
 	s.mu.Lock()
-	if r := s.replicaFor(c); r != nil {
+	if r := s.replicaFor(c); r != nil { // else an agent that stays silent
 		r.usage.addCall()
+		refused = valid && s.faults.refused > 0 && s.config.Random.Float64() < s.faults.refused
 	}
 	delay = s.faults.delay
-	refused = valid && s.faults.refused > 0 && s.config.Random.Float64() < s.faults.refused
 	observation := Observation{Client: c.client.at.Name, List: c.client.list, At: time.Now(),
 		Complete: s.completeAt(c.client.list, asked.from)}
 	s.mu.Unlock()
@@ -142,40 +142,31 @@
 	return ok
 }
 
+// pending is a call that waits for its answer.
+type pending struct {
+	call
+	deadline time.Time // when it has waited long enough
+	detached bool      // the agent reaches no replica, or reached none when the wait was over
+}
+
+// wakeups are what a pending call waits for, besides its deadline.
+type wakeups struct{ changed, topology <-chan struct{} }
+
 // awaitAnswer gives the answer to a call once there is one: the whole list where its version is none of this log, or
 // what is newer, or nothing new after its wait. It gives nil if the call stays without an answer.
 func (s *Service) awaitAnswer(ctx context.Context, c *conn, asked call) []byte {
-	deadline := time.Now().Add(asked.hold)
+	p := &pending{call: asked, deadline: time.Now().Add(asked.hold)}
 	timeout := time.NewTimer(asked.hold)
 	defer timeout.Stop()
-	defer s.setWatching(c, false)
-	detached := false // the agent reaches no replica, or did not when the call's wait was over
+	defer s.endWatch(c)
 	for ctx.Err() == nil && !c.silent.Load() {
-		over := !time.Now().Before(deadline)
-		s.mu.Lock()
-		r, topology := s.replicaFor(c), s.topology
-		if r == nil {
-			detached = true
-		} else if !over {
-			detached = false
-		}
-		if detached && over {
-			s.mu.Unlock()
-			return nil
+		answer, wake := s.tryAnswer(c, p)
+		if answer != nil || p.detached && !time.Now().Before(p.deadline) {
+			return answer
 		}
-		var changed <-chan struct{}
-		if r != nil {
-			if answer := r.answer(c.client.list, asked.from, over); answer != nil {
-				s.mu.Unlock()
-				return answer
-			}
-			changed = r.list(c.client.list).changed
-		}
-		c.watching = true
-		s.mu.Unlock()
 		select {
-		case <-changed:
-		case <-topology:
+		case <-wake.changed:
+		case <-wake.topology:
 		case <-timeout.C:
 		case <-ctx.Done():
 		case <-c.ended:
@@ -185,10 +176,28 @@
 	return nil
 }
 
-func (s *Service) setWatching(c *conn, watching bool) {
+// tryAnswer gives the answer to a call if there is one now, and otherwise what may bring one.
+func (s *Service) tryAnswer(c *conn, p *pending) ([]byte, wakeups) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	over := !time.Now().Before(p.deadline)
+	r := s.replicaFor(c)
+	if r == nil || p.detached && over {
+		p.detached = true
+		return nil, wakeups{topology: s.topology}
+	}
+	p.detached = false
+	if answer := r.answer(c.client.list, p.from, over); answer != nil {
+		return answer, wakeups{}
+	}
+	c.watching = true
+	return nil, wakeups{changed: r.list(c.client.list).changed, topology: s.topology}
+}
+
+func (s *Service) endWatch(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.watching = watching
+	c.watching = false
 }
 
 // answer gives what a call from a version is told now, or nil if there is nothing new and it may wait.
--- a/internal/emulator/registry/listen_test.go
+++ b/internal/emulator/registry/listen_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -55,6 +57,43 @@
 	}
 }
 
+// The real client of discovery follows the list over TCP, also from one replica to the next.
+func TestRealClientOverTCP(t *testing.T) {
+	for _, ask := range []bool{false, true} {
+		config := testConfig(ask)
+		config.ReplicationDelay = 0
+		s := start(t, config)
+		address, err := s.Listen(list, inEast)
+		if err != nil {
+			t.Fatal(err)
+		}
+		updates, requests := make(chan discovery.Update), make(chan struct{}, 1)
+		client := discovery.NewClient(discovery.Options{Address: address, Known: discovery.NoVersion, Ask: ask,
+			Updates: updates, Requests: requests, Log: slog.New(slog.DiscardHandler), Random: rand.New(rand.NewPCG(3, 4))})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { client.Run(ctx) })
+		have := members{}
+		awaitMember := func(name string) {
+			for have[name].Name == "" {
+				if u := <-updates; u.List != nil {
+					have.take(u.List)
+				} else {
+					requests <- struct{}{}
+				}
+			}
+		}
+		publish(t, s, "east", serving("s-1"))
+		awaitMember("s-1")
+		do(t, s.Kill("r1"))
+		publish(t, s, "west", serving("s-2"))
+		awaitMember("s-2")
+		cancel()
+		running.Wait()
+		s.Close()
+	}
+}
+
 // A thousand clients watch over TCP and are all told of a change.
 func TestManyClientsOverTCP(t *testing.T) {
 	const clients = 1000
