--- a/internal/emulator/registry/faults_test.go
+++ b/internal/emulator/registry/faults_test.go
@@ -183,6 +183,28 @@
 	})
 }
 
+// A connection whose watch has been answered is not silenced with those whose watches wait.
+func TestSilenceSparesIdleConnections(t *testing.T) {
+	inBothModes(t, func(t *testing.T, ask bool) {
+		s := start(t, oneReplica(ask))
+		c := newCaller(s.Dialer(list, inEast))
+		c.transport.DisableKeepAlives = false
+		defer c.transport.CloseIdleConnections()
+		version := c.ask(t, "").Index
+		c.ask(t, fromVersion(version, time.Second))
+		synctest.Wait()
+		s.SilenceWatches()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if status, _, err := c.get(ctx, discovery.MembersPath); status != http.StatusOK {
+			t.Errorf("status %d, error %v", status, err)
+		}
+		if n := len(s.conns); n != 1 {
+			t.Errorf("%d connections were used", n)
+		}
+	})
+}
+
 // A zone that is cut off hears nothing of the others, nor they of its replica's, until it is healed.
 func TestCutZone(t *testing.T) {
 	inBothModes(t, func(t *testing.T, ask bool) {
