--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,12 +154,12 @@
 		if repeat == logic.Keyed && p.Scope == "" { // who drops its repeats is not told: its own cell at least
 			group = logic.GroupCell
 		}
-		s.Classes = append(s.Classes, logic.Class{Aim: p.Objective, Deadline: p.GiveUp, Worth: p.Worth,
+		s.Classes = append(s.Classes, logic.Class{Name: p.Name, Aim: p.Objective, Deadline: p.GiveUp, Worth: p.Worth,
 			LateWorth: p.LateShare, Repeat: repeat, Group: group, Window: p.Window,
 			ByArrival: p.ByArrival})
 	}
 	for _, t := range o.Tenants {
-		s.Tenants = append(s.Tenants, logic.Tenant{Portion: t.Portion, Quota: t.Quota})
+		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, Portion: t.Portion, Quota: t.Quota})
 	}
 	return s, nil
 }
--- a/logic/api.go
+++ b/logic/api.go
@@ -33,6 +33,7 @@
 
 // Class describes one class of requests.
 type Class struct {
+	Name      string  // by which Reconfigure knows it again; its place if empty
 	Aim       int64   // an answer within this earns the full worth
 	Deadline  int64   // a client waits this long at most, all its tries included
 	Worth     float64 // worth of one request
@@ -45,11 +46,12 @@
 
 // Tenant describes one origin of requests.
 type Tenant struct {
+	Name    string  // by which Reconfigure knows it again; its place if empty
 	Portion float64 // its part of the service
 	Quota   float64 // requests a second inside its share, over all proxies
 }
 
-// Settings are handed over once, at the start, and not changed afterwards.
+// Settings are handed over at the start; Reconfigure replaces them.
 type Settings struct {
 	Stage     int // the tier that this proxy sends to; 0 is the front
 	Siblings  int // proxies of this tier, this one included
--- a/logic/detach_test.go
+++ b/logic/detach_test.go
@@ -125,7 +125,7 @@
 		}
 	}
 	last = b.byID[last.ID]
-	if last.owed || b.weigh(start, last, 0) >= coldMargin {
-		t.Errorf("after its first call: owed %v, weighs %v", last.owed, b.weigh(start, last, 0))
+	if last.owed || b.weigh(start, last, b.classes[0]) >= coldMargin {
+		t.Errorf("after its first call: owed %v, weighs %v", last.owed, b.weigh(start, last, b.classes[0]))
 	}
 }
--- a/logic/learned.go
+++ b/logic/learned.go
@@ -33,14 +33,13 @@
 func (b *Balancer) Learned() Learned {
 	l := Learned{Tier: b.tier.count, Share: b.share, Spill: b.spill, Errs: b.errs,
 		Servers: make(map[string]LearnedServer, len(b.all))}
-	for i := range b.classes {
-		c := &b.classes[i]
+	for _, c := range b.classes {
 		l.Classes = append(l.Classes, LearnedClass{c.rule.count, c.mean, c.base, c.seen, c.errs})
 	}
 	for _, s := range b.all {
 		k := LearnedServer{Launched: s.Launched, Slowness: s.slowness, Left: s.whole.left}
-		for _, c := range s.classes {
-			k.Classes = append(k.Classes, c.left)
+		for _, c := range b.classes {
+			k.Classes = append(k.Classes, s.health(c).left)
 		}
 		l.Servers[s.ID] = k
 	}
@@ -63,7 +62,7 @@
 		return
 	}
 	for i, k := range l.Classes {
-		c := &b.classes[i]
+		c := b.classes[i]
 		set(&c.rule.count, k.Count, c.rule.least, startCount)
 		set(&c.mean, k.Mean, 1, math.MaxInt32)
 		set(&c.base, k.Base, 1, c.mean)
@@ -72,13 +71,13 @@
 	}
 	for _, s := range b.all {
 		k, ok := l.Servers[s.ID]
-		if !ok || k.Launched != s.Launched || len(k.Classes) != len(s.classes) {
+		if !ok || k.Launched != s.Launched || len(k.Classes) != len(b.classes) {
 			continue
 		}
 		set(&s.slowness, k.Slowness, 1/slowMost, slowMost)
 		set(&s.whole.left, k.Left, healthFloor, 1)
 		for i, left := range k.Classes {
-			set(&s.classes[i].left, left, healthFloor, 1)
+			set(&s.health(b.classes[i]).left, left, healthFloor, 1)
 		}
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -143,13 +143,13 @@
 
 // room is how likely chance is allowed for: less as calls are late, and not if a tenant clearly sends more
 // than its part of the quotas and, while nothing is slow, of what this copy gets, as traffic may move here.
-func (b *Balancer) room(now int64, tenant int) float64 {
+func (b *Balancer) room(now int64, t *originRule) float64 {
 	part := b.fair * float64(min(now-b.born, tallySpan)) / float64(second)
 	if b.share >= 1 {
 		part = max(part, b.came.at(now))
 	}
-	part *= b.s.Tenants[tenant].Portion
-	if b.tenants[tenant].came.at(now) > part+chanceRoom*math.Sqrt(part)+1 {
+	part *= t.portion
+	if t.came.at(now) > part+chanceRoom*math.Sqrt(part)+1 {
 		return 0
 	}
 	return min(1, b.share/crowdLow)
@@ -160,37 +160,35 @@
 	if err := s.validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
-		detached: map[string]bool{}, awaited: map[string]int64{},
-		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst,
-		tenants: make([]originRule, len(s.Tenants)), classes: make([]classState, len(s.Classes))}
-	if s.BudgetSpan == 0 {
-		b.s.BudgetSpan, b.s.BudgetFree, b.s.BudgetShare = ownSpan, ownFree, ownShare
-	}
-	allowed, least := badPart, minCount
+	b := &Balancer{s: &Settings{}, rnd: rand.New(rand.NewPCG(seed, seed)), byID: map[string]*server{},
+		detached: map[string]bool{}, awaited: map[string]int64{}, tier: threadRule{count: startCount},
+		reqs: map[string]*request{}, turns: map[string]*turn{}, backoff: watchFirst}
 	b.share, b.spill, b.shareBad = shareStart, spillStart, sharePress
 	if s.Stage > 0 {
-		allowed, least = hopeless, deepCount
 		b.share, b.spill, b.shareBad = shareDeep, spillLow, shareDeep
 	}
 	b.shareMost = b.share
-	for _, t := range s.Tenants { // a copy that carries more than its part learns a higher multiple
-		b.fair += t.Quota / float64(s.Siblings)
-	}
-	for i, c := range s.Classes {
-		first := firstMean * float64(c.Aim)
-		span := roundSpan * c.Aim
-		rule := threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: span}}
-		b.shareEv.span = max(b.shareEv.span, span)
-		b.classes[i] = classState{rule: rule, mean: first, base: first}
-		b.classes[i].yield = round{allowed: slowMuch, span: span}
-	}
-	b.tier = threadRule{count: startCount, least: least, ev: round{allowed: allowed, span: b.shareEv.span}}
-	b.shareEv.allowed = slowMuch
-	b.spillEv = b.shareEv
+	b.configure(s)
 	return b, nil
 }
 
+// bound sets what the evidence is judged by.
+func (b *Balancer) bound() {
+	allowed, least, longest := badPart, minCount, int64(0)
+	if b.s.Stage > 0 {
+		allowed, least = hopeless, deepCount
+	}
+	for i, c := range b.classes {
+		span := roundSpan * b.s.Classes[i].Aim
+		longest = max(longest, span)
+		c.rule.least, c.rule.ev.allowed, c.rule.ev.span = least, allowed, span
+		c.yield.allowed, c.yield.span = slowMuch, span
+	}
+	b.tier.least, b.tier.ev.allowed, b.tier.ev.span = least, allowed, longest
+	b.shareEv.allowed, b.shareEv.span = slowMuch, longest
+	b.spillEv.allowed, b.spillEv.span = slowMuch, longest
+}
+
 // List takes a list of servers or its changes.
 func (b *Balancer) List(now int64, h Host, kind ListKind, entries []Server) {
 	if kind == Failed {
@@ -249,7 +247,7 @@
 // comes back as one that starts now.
 func (b *Balancer) Attach(now int64, id string) {
 	if s := b.byID[id]; s != nil && b.detached[id] {
-		s.forget(len(b.classes))
+		s.forget(b.slots)
 		s.back, s.owed = now, true
 	} else if b.detached[id] {
 		b.awaited[id] = now
@@ -304,12 +302,13 @@
 	b.born = cmp.Or(b.born, now)
 	b.taken.add(now, b.s.BudgetSpan)
 	b.came.add(now)
-	q := &request{Request: r, came: now}
-	if t := b.origin(q); t != nil {
-		t.came.add(now)
+	q := &request{Request: r, came: now, kind: &b.s.Classes[r.Class], class: b.classes[r.Class]}
+	if r.Tenant >= 0 && r.Tenant < len(b.tenants) {
+		q.origin = b.tenants[r.Tenant]
+		q.origin.came.add(now)
 	}
 	b.reqs[r.ID] = q
-	if r.Key == "" || !b.s.Classes[r.Class].ByArrival {
+	if r.Key == "" || !q.kind.ByArrival {
 		b.start(now, h, q)
 		return
 	}
@@ -317,8 +316,8 @@
 	if b.next(now, h, q.turn); len(q.attempts) > 0 || q.over {
 		return
 	}
-	last := float64(b.deadline(q)-now) - leastMeans*b.classes[r.Class].mean
-	if float64(len(q.turn.line)-1)*b.classes[r.Class].mean > last { // this also bounds the line
+	last := float64(b.deadline(q)-now) - leastMeans*q.class.mean
+	if float64(len(q.turn.line)-1)*q.class.mean > last { // this also bounds the line
 		b.refuse(now, h, q)
 		return
 	}
@@ -329,8 +328,8 @@
 func (b *Balancer) start(now int64, h Host, q *request) {
 	if !b.canPass(now, q) || !b.inTime(now, q) || !b.send(now, h, q) {
 		b.refuse(now, h, q)
-	} else if t := b.origin(q); t != nil {
-		t.pass.add(now)
+	} else if q.origin != nil {
+		q.origin.pass.add(now)
 	}
 }
 
@@ -351,7 +350,7 @@
 }
 
 func (b *Balancer) longestHint(q *request) int64 {
-	return min(b.s.MaxRetryAfter, int64(hintPart*float64(b.s.Classes[q.Class].Aim)))
+	return min(b.s.MaxRetryAfter, int64(hintPart*float64(q.kind.Aim)))
 }
 
 // canPass checks the rules in order.
@@ -359,27 +358,26 @@
 	if q.Spare < max(q.Lines/sparePart, min(spareLeast, q.Lines/2)) || !b.tier.canPass(b.rnd.Float64()) {
 		return false
 	}
-	if t := b.origin(q); t != nil {
-		count := b.share * b.fair * b.s.Tenants[q.Tenant].Portion
-		if !t.canPass(now, b.born, count, b.room(now, q.Tenant), b.rnd.Float64()) {
+	if t := q.origin; t != nil {
+		count := b.share * b.fair * t.portion
+		if !t.canPass(now, b.born, count, b.room(now, t), b.rnd.Float64()) {
 			return false
 		}
 	}
-	return b.classes[q.Class].rule.canPass(b.rnd.Float64())
+	return q.class.rule.canPass(b.rnd.Float64())
 }
 
 // deadline is when an answer stops being worth anything.
 func (b *Balancer) deadline(q *request) int64 {
-	k := b.s.Classes[q.Class]
-	if b.s.Stage == 0 && k.LateWorth == 0 {
-		return min(q.GiveUp, q.came+k.Aim)
+	if b.s.Stage == 0 && q.kind.LateWorth == 0 {
+		return min(q.GiveUp, q.came+q.kind.Aim)
 	}
 	return q.GiveUp
 }
 
 // inTime tells whether a request can still be answered while that is worth something.
 func (b *Balancer) inTime(now int64, q *request) bool {
-	return float64(b.deadline(q)-now) > leastMeans*b.classes[q.Class].mean
+	return float64(b.deadline(q)-now) > leastMeans*q.class.mean
 }
 
 // send draws a server and sends an attempt there; false if there is none to send to.
@@ -389,7 +387,8 @@
 		return false
 	}
 	lapse := b.lapse(q)
-	a := &attempt{srv: s, begun: now, sent: now, zone: s.Zone, cell: s.Cell, mayRun: true, out: true}
+	a := &attempt{srv: s, set: b.s, kind: q.kind, begun: now, sent: now, zone: s.Zone, cell: s.Cell,
+		mayRun: true, out: true}
 	q.attempts = append(q.attempts, a)
 	q.out++
 	a.owed, s.owed = s.owed, false
@@ -404,12 +403,11 @@
 
 // enterCall counts an attempt as a call in flight: its server has all of it and may begin.
 func (b *Balancer) enterCall(q *request, a *attempt) {
-	c := &b.classes[q.Class]
 	if b.s.Stage == 0 {
-		c.waiting = append(c.waiting, a)
+		q.class.waiting = append(q.class.waiting, a)
 	}
 	b.tier.enter()
-	c.rule.enter()
+	q.class.rule.enter()
 	a.counts = true
 }
 
@@ -430,8 +428,8 @@
 // timeout gives an attempt up when its answer would be worth nothing, or before where another may follow.
 func (b *Balancer) timeout(now int64, q *request) int64 {
 	left := b.deadline(q) - now
-	if b.s.Classes[q.Class].Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
-		left = min(left, int64(hangMeans*b.classes[q.Class].mean))
+	if q.kind.Repeat != Unsafe && len(q.attempts) < b.s.MaxAttempts {
+		left = min(left, int64(hangMeans*q.class.mean))
 	}
 	return max(left, 1)
 }
@@ -445,10 +443,10 @@
 		if room <= 0 && sum > 0 {
 			break
 		}
-		room -= s.healthFor(q.Class) * b.warmth(now, s)
+		room -= s.healthFor(q.class) * b.warmth(now, s)
 		w := 0.0
 		if b.mayGo(now, q, s) {
-			w = b.weigh(now, s, q.Class)
+			w = b.weigh(now, s, q.class)
 		}
 		if q.tried(s) {
 			w *= triedPart
@@ -462,7 +460,7 @@
 	}
 	total, lack, cold := 0.0, 0.0, 0.0 // lack: by so much total would be more if all were warm
 	for i, s := range b.ready[:len(b.weights)] {
-		b.weights[i] /= math.Pow(1+s.busy(q.Class, held/sum), heldPower)
+		b.weights[i] /= math.Pow(1+s.busy(q.class, held/sum), heldPower)
 		total += b.weights[i]
 		if warmth := b.warmth(now, s); warmth < 1 {
 			cold += b.weights[i]
@@ -493,13 +491,13 @@
 
 // busy is how many calls of this copy a server is taken to hold. One that fails at once holds none and would
 // draw all calls whenever its peers are busy, so the less healthy it is, the more it counts as busy as usual.
-func (s *server) busy(class int, usual float64) float64 {
+func (s *server) busy(class *classState, usual float64) float64 {
 	return max(float64(s.inflight), (1-s.healthFor(class))*usual)
 }
 
 // weigh is a server's weight in the draw before the calls of this copy that it already holds: its size, what
 // was learned of it, its age and its zone.
-func (b *Balancer) weigh(now int64, s *server, class int) float64 {
+func (b *Balancer) weigh(now int64, s *server, class *classState) float64 {
 	if s.owed && now >= s.back+int64(b.s.Ordinal)*b.s.Cold/owedSteps { // one call of each copy is no burden
 		return 1
 	}
@@ -528,18 +526,17 @@
 // lapse is by when a repeat has to be on its way: later it might reach servers that have forgotten the first
 // attempt that may have run. It is 0 while none may have run, and where repeats are not told by their key.
 func (b *Balancer) lapse(q *request) int64 {
-	k := b.s.Classes[q.Class]
 	i := slices.IndexFunc(q.attempts, (*attempt).hasRun) // they are in order
-	if i < 0 || k.Repeat != Keyed {
+	if i < 0 || q.kind.Repeat != Keyed {
 		return 0
 	}
-	return q.attempts[i].begun + k.Window - onTheWay
+	return q.attempts[i].begun + q.kind.Window - onTheWay
 }
 
 // mayGo keeps rule 2 for a further attempt: once one may have run, an unsafe request goes nowhere, and a
 // keyed one only to the group that drops its repeats, while that remembers it.
 func (b *Balancer) mayGo(now int64, q *request, s *server) bool {
-	k := b.s.Classes[q.Class]
+	k := q.kind
 	for _, a := range q.attempts {
 		if !a.mayRun || k.Repeat == Safe {
 			continue
@@ -556,7 +553,7 @@
 // attempt may have run, that holds where all servers drop repeats, and for a client that comes again while
 // they do.
 func (b *Balancer) mayRefuse(now int64, q *request) bool {
-	k := b.s.Classes[q.Class]
+	k := q.kind
 	return k.Repeat == Safe || !slices.ContainsFunc(q.attempts, (*attempt).hasRun) ||
 		k.Repeat == Keyed && k.Group == GroupAll && now+b.longestHint(q) < b.lapse(q)
 }
@@ -585,19 +582,19 @@
 	b.watch(now)
 	a := q.attempts[o.Attempt]
 	a.out = false
-	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || b.s.FullMayRun)
+	a.mayRun = o.Status != ConnectFailed && o.Status != Moot && (o.Status != FullUp || a.set.FullMayRun)
 	a.srv.owed = a.srv.owed || a.owed && (o.Status == ConnectFailed || o.Status == Moot) // it has got nothing
 	q.out--
 	a.srv.inflight--
 	if a.counts {
 		b.tier.threads--
-		b.classes[q.Class].rule.threads--
+		q.class.rule.threads--
 	}
 	b.learn(now, q, a, o)
 	b.report(now, h)
 	if q.turn != nil && slices.Contains([]Status{TimedOut, Reset, Cancelled}, o.Status) { // it may still run
-		q.turn.rest = now + b.s.OrderSettle
-		h.SetTimer(b.s.OrderSettle, turnToken+q.Key)
+		q.turn.rest = max(q.turn.rest, now+a.set.OrderSettle)
+		h.SetTimer(a.set.OrderSettle, turnToken+q.Key)
 	}
 	if o.Closed || q.over {
 		b.finish(now, h, q)
@@ -614,12 +611,12 @@
 // again makes a further attempt, where time, rules, rule 2 and the budget (rule 6) allow one. The budget is
 // exact in the window that ends now: an attempt at its far edge counts, a request taken there does not.
 func (b *Balancer) again(now int64, h Host, q *request) bool {
-	u, rule, from := b.rnd.Float64(), &b.classes[q.Class].rule, now-b.s.BudgetSpan
+	u, rule, from := b.rnd.Float64(), &q.class.rule, now-b.s.BudgetSpan
 	if len(q.attempts) >= b.s.MaxAttempts || !b.inTime(now, q) || !b.tier.canPass(u) || !rule.canPass(u) ||
 		b.further.since(from)+1 > b.s.BudgetFree+b.s.BudgetShare*b.taken.since(from+1) || !b.send(now, h, q) {
 		return false
 	}
-	b.further.add(now, b.s.BudgetSpan)
+	b.further.add(now, max(b.s.BudgetSpan, budgetKept))
 	return true
 }
 
@@ -628,47 +625,48 @@
 	if o.Status == Cancelled || o.Status == Moot {
 		return
 	}
-	c, k, failed := &b.classes[q.Class], b.s.Classes[q.Class], o.Status != OK
-	blame := b.judge(a.srv, q.Class, o.Status)
+	c, failed := q.class, o.Status != OK
+	blame := b.judge(a.srv, c, o.Status)
 	if !failed {
 		b.reward(c, a.srv, float64(o.Took))
 	}
 	spent := float64(now - a.sent)
-	late := failed && !blame || !failed && spent > lateBar*float64(k.Aim)
-	slow := late || !failed && spent > b.slowBar(q.Class)
+	late := failed && !blame || !failed && spent > lateBar*float64(q.kind.Aim)
+	slow := late || !failed && spent > b.slowBar(q.kind, c)
 	b.tier.learn(&b.tier.ev, now, a.sent, late)
 	c.rule.learn(&c.rule.ev, now, a.sent, late)
 	if !a.slow {
-		b.press(now, q.Class, a, slow, slow || failed)
+		b.press(now, c, a, slow, slow || failed)
 	}
 }
 
 // slowBar is when a call counts as slow: well before its aim, and when it takes clearly longer than if
 // little waits.
-func (b *Balancer) slowBar(class int) float64 {
-	bar := slowBar * float64(b.s.Classes[class].Aim)
+func (b *Balancer) slowBar(k *Class, c *classState) float64 {
+	bar := slowBar * float64(k.Aim)
 	if b.s.Stage > 0 || b.share <= crowdLow {
 		return bar
 	}
-	return min(bar, crowdBar*b.classes[class].base)
+	return min(bar, crowdBar*c.base)
 }
 
 // value is a class's worth for each unit of work, by the time that its calls take when little waits.
-func (b *Balancer) value(class int) float64 {
+func (b *Balancer) value(k *Class, c *classState) float64 {
 	if b.s.ByWork {
-		return b.s.Classes[class].Worth
+		return k.Worth
 	}
-	return b.s.Classes[class].Worth / b.classes[class].base
+	return k.Worth / c.base
 }
 
 // press takes one piece of evidence on whether the shares and home are under pressure. A class also yields
 // to one worth clearly more: that one's calls cut its count when they near their aim. Those only slower
 // than in quiet press the shares.
-func (b *Balancer) press(now int64, class int, a *attempt, slow, homeBad bool) {
-	near := float64(now-a.sent) > slowBar*float64(b.s.Classes[class].Aim)
-	for i := range b.classes {
+func (b *Balancer) press(now int64, class *classState, a *attempt, slow, homeBad bool) {
+	near := float64(now-a.sent) > slowBar*float64(a.kind.Aim)
+	worth := b.value(a.kind, class)
+	for i, c := range b.classes {
 		// A call that is still out may yet near its aim or not.
-		if c := &b.classes[i]; b.value(class) > yieldRatio*b.value(i) && (near || !a.out) {
+		if worth > yieldRatio*b.value(&b.s.Classes[i], c) && (near || !a.out) {
 			c.rule.learn(&c.yield, now, a.sent, slow && near)
 		}
 	}
@@ -692,14 +690,20 @@
 // watch counts calls as slow when they have been out for the slow bar, not when they end: in a jam that is
 // seconds later, and shares must fall before then.
 func (b *Balancer) watch(now int64) {
-	for i := range b.classes {
-		c := &b.classes[i]
-		for bar := int64(b.slowBar(i)); len(c.waiting) > 0 && now-c.waiting[0].sent > bar; {
+	for _, c := range b.classes {
+		var kind *Class
+		for bar := int64(0); len(c.waiting) > 0; {
 			a := c.waiting[0]
+			if a.kind != kind {
+				kind, bar = a.kind, int64(b.slowBar(a.kind, c))
+			}
+			if now-a.sent <= bar {
+				break
+			}
 			c.waiting = c.waiting[1:]
 			if a.out {
 				a.slow = true
-				b.press(now, i, a, true, true)
+				b.press(now, c, a, true, true)
 			}
 		}
 	}
@@ -709,8 +713,8 @@
 // is a deeper tier's and held against the counts; a refused connection never is, lest a lost zone be one.
 // An error that was answered concerns its class only, silence the whole server. A full server is not ill:
 // the counts answer to that, and the calls that it would have had are not to crowd its peers.
-func (b *Balancer) judge(s *server, class int, status Status) (blame bool) {
-	c, x := &b.classes[class], partOf(status != OK)
+func (b *Balancer) judge(s *server, c *classState, status Status) (blame bool) {
+	x := partOf(status != OK)
 	b.errs += (x - b.errs) * meanGain
 	c.errs += (x - c.errs) * meanGain
 	if status == ConnectFailed {
@@ -719,7 +723,7 @@
 		blame = s.whole.judge(x, blameRatio*b.errs)
 	}
 	if status == Error || status == OK {
-		blame = s.classes[class].judge(x, blameRatio*c.errs)
+		blame = s.health(c).judge(x, blameRatio*c.errs)
 	}
 	return blame
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -548,23 +548,23 @@
 func TestWeightsFollowSpeedAndFailures(t *testing.T) {
 	b, _ := with(t, testSettings(), 2)
 	fast, slow := b.byID["s0"], b.byID["s1"]
-	c := &b.classes[0]
+	c := b.classes[0]
 	for range 200 {
 		b.reward(c, fast, 100_000)
 		b.reward(c, slow, 300_000)
 	}
-	if b.weigh(start, fast, 0) < 2*b.weigh(start, slow, 0) {
-		t.Errorf("weights %v and %v", b.weigh(start, fast, 0), b.weigh(start, slow, 0))
+	if b.weigh(start, fast, b.classes[0]) < 2*b.weigh(start, slow, b.classes[0]) {
+		t.Errorf("weights %v and %v", b.weigh(start, fast, b.classes[0]), b.weigh(start, slow, b.classes[0]))
 	}
-	before := b.weigh(start, fast, 0)
-	b.judge(fast, 0, Error)
-	if b.weigh(start, fast, 0) > before/2 {
+	before := b.weigh(start, fast, b.classes[0])
+	b.judge(fast, b.classes[0], Error)
+	if b.weigh(start, fast, b.classes[0]) > before/2 {
 		t.Error("a failure that its peer does not show left the weight")
 	}
 	for range 100 {
-		b.judge(fast, 0, Error)
+		b.judge(fast, b.classes[0], Error)
 	}
-	if b.weigh(start, fast, 0) <= 0 {
+	if b.weigh(start, fast, b.classes[0]) <= 0 {
 		t.Error("no floor keeps trials going")
 	}
 }
@@ -574,22 +574,22 @@
 	b, _ := with(t, testSettings(), 4)
 	ill, well := b.byID["s0"], b.byID["s1"]
 	for range 5 {
-		b.judge(ill, 0, Error)
-		b.judge(well, 0, OK)
+		b.judge(ill, b.classes[0], Error)
+		b.judge(well, b.classes[0], OK)
 	}
-	if w := b.weigh(start, ill, 0); w > b.weigh(start, well, 0)/5 {
+	if w := b.weigh(start, ill, b.classes[0]); w > b.weigh(start, well, b.classes[0])/5 {
 		t.Errorf("a server that fails the class keeps weight %v", w)
 	}
-	if b.weigh(start, ill, 2) != b.weigh(start, well, 2) {
+	if b.weigh(start, ill, b.classes[2]) != b.weigh(start, well, b.classes[2]) {
 		t.Error("errors of one class cost a server the others")
 	}
 	for range 5 {
-		b.judge(ill, 0, TimedOut)
+		b.judge(ill, b.classes[0], TimedOut)
 		for range 3 {
-			b.judge(well, 0, OK)
+			b.judge(well, b.classes[0], OK)
 		}
 	}
-	if w := b.weigh(start, ill, 2); w > b.weigh(start, well, 2)/5 {
+	if w := b.weigh(start, ill, b.classes[2]); w > b.weigh(start, well, b.classes[2])/5 {
 		t.Errorf("a silent server keeps weight %v for the other classes", w)
 	}
 }
@@ -654,11 +654,11 @@
 	b, _ := with(t, testSettings(), 4)
 	for range 100 {
 		for _, s := range b.all {
-			b.judge(s, 0, Error)
+			b.judge(s, b.classes[0], Error)
 		}
 	}
 	for _, s := range b.all {
-		if b.judge(s, 0, Error) {
+		if b.judge(s, b.classes[0], Error) {
 			t.Errorf("%s is blamed for what its peers show", s.ID)
 		}
 	}
@@ -866,20 +866,20 @@
 
 func TestHomeFirstAndSpillUnderPressure(t *testing.T) {
 	b, _ := with(t, testSettings(), 8)
-	home := b.weigh(start, b.byID["s0"], 0)
+	home := b.weigh(start, b.byID["s0"], b.classes[0])
 	now := start
 	feed := func(n int, bad bool) {
 		for range n {
 			now++
-			b.press(now, 0, &attempt{sent: now, zone: b.s.Zone}, bad, bad)
+			b.press(now, b.classes[0], &attempt{kind: &b.s.Classes[0], sent: now, zone: b.s.Zone}, bad, bad)
 		}
 	}
 	feed(60*roundSize, false)
-	if away := b.weigh(start, b.byID["s2"], 0); away > home/10 {
+	if away := b.weigh(start, b.byID["s2"], b.classes[0]); away > home/10 {
 		t.Errorf("a calm home leaves %.3f of the weight to other zones", away/home)
 	}
 	feed(20*roundSize, true)
-	if away := b.weigh(start, b.byID["s2"], 0); away < home/2 {
+	if away := b.weigh(start, b.byID["s2"], b.classes[0]); away < home/2 {
 		t.Errorf("a home in trouble leaves %.3f of the weight to other zones", away/home)
 	}
 }
@@ -934,14 +934,14 @@
 	now, long := start, s.Classes[1].Aim*3/4
 	for range 4 * roundSize {
 		now += 2 * long
-		b.press(now, 1, &attempt{sent: now - long}, true, true)
+		b.press(now, b.classes[1], &attempt{kind: &b.s.Classes[1], sent: now - long}, true, true)
 	}
 	if cheap.count > 10 || dear.count != startCount {
 		t.Errorf("after slow calls of the worthier class: cheap %v, dear %v", cheap.count, dear.count)
 	}
 	for range 4 * roundSize {
 		now += 2 * long
-		b.press(now, 0, &attempt{sent: now - long}, true, true)
+		b.press(now, b.classes[0], &attempt{kind: &b.s.Classes[0], sent: now - long}, true, true)
 	}
 	if dear.count != startCount {
 		t.Errorf("slow cheap calls cut the worthier class to %v", dear.count)
@@ -982,7 +982,7 @@
 	b, _ := with(t, testSettings(), 8)
 	for range 5 {
 		for _, s := range b.all {
-			if !b.judge(s, 0, ConnectFailed) {
+			if !b.judge(s, b.classes[0], ConnectFailed) {
 				t.Fatalf("%s is not blamed for a refused connection", s.ID)
 			}
 		}
@@ -1023,7 +1023,7 @@
 			t.Fatalf("share still %v", b.share)
 		}
 		now := start + 2*second + int64(i)
-		b.press(now, 0, &attempt{sent: now}, true, true)
+		b.press(now, b.classes[0], &attempt{kind: &b.s.Classes[0], sent: now}, true, true)
 	}
 	if b.share < shareLow || b.share >= 1 {
 		t.Errorf("a bad round leaves a share of %v", b.share)
@@ -1053,7 +1053,7 @@
 	b.share = sharePress
 	for i := range 12 * roundSize {
 		now := start + int64(i)
-		b.press(now, 0, &attempt{sent: now}, false, false)
+		b.press(now, b.classes[0], &attempt{kind: &b.s.Classes[0], sent: now}, false, false)
 	}
 	if b.share != shareStart {
 		t.Errorf("share %v after a dozen good rounds", b.share)
--- a/logic/random_test.go
+++ b/logic/random_test.go
@@ -34,6 +34,7 @@
 // book is what the checker knows of a request.
 type book struct {
 	r       Request
+	class   Class // as it was when the request came
 	closed  bool
 	tries   []*try
 	pending []int
@@ -44,6 +45,7 @@
 	server  Server
 	sent    int64
 	timeout int64
+	set     Settings // in force when it was sent
 	done    bool
 	ran     bool // may have run
 }
@@ -84,7 +86,7 @@
 		timeout = k.r.GiveUp - c.now
 	}
 	k.pending = append(k.pending, len(k.tries))
-	k.tries = append(k.tries, &try{server: s, sent: c.now, timeout: timeout, ran: true})
+	k.tries = append(k.tries, &try{server: s, sent: c.now, timeout: timeout, set: c.set, ran: true})
 }
 
 func (c *checker) checkBudget(id string) {
@@ -103,7 +105,7 @@
 }
 
 func (c *checker) checkOrder(k *book) {
-	if !c.set.Classes[k.r.Class].ByArrival || k.r.Key == "" {
+	if !k.class.ByArrival || k.r.Key == "" {
 		return
 	}
 	for _, earlier := range c.queues[k.r.Key] {
@@ -120,7 +122,7 @@
 }
 
 func (c *checker) checkRepeat(k *book, earlier *try, to Server, lapse int64) {
-	class := c.set.Classes[k.r.Class]
+	class := k.class
 	if !earlier.done {
 		c.fault("%s has two attempts out", k.r.ID)
 	}
@@ -143,7 +145,7 @@
 	if k == nil {
 		return
 	}
-	class := c.set.Classes[k.r.Class]
+	class := k.class
 	for _, t := range k.tries {
 		if t.ran && class.Repeat != Safe && !(class.Repeat == Keyed && class.Group == GroupAll) {
 			c.fault("rule 2: %s refused after it may have run", id)
@@ -209,6 +211,8 @@
 	now  int64
 	next int
 	open []string // requests that have an attempt out or are owed an answer
+
+	change func(*driver) // called before each step; may be nil
 }
 
 func (d *driver) restart() {
@@ -262,10 +266,10 @@
 	if n := d.rnd.IntN(8); n > 0 {
 		r.Key = fmt.Sprint("key", n)
 	}
-	k := &book{r: r}
+	k := &book{r: r, class: d.c.set.Classes[r.Class]}
 	d.c.reqs[r.ID] = k
 	d.c.taken = append(d.c.taken, d.now)
-	if d.c.set.Classes[r.Class].ByArrival {
+	if k.class.ByArrival {
 		d.c.queues[r.Key] = append(d.c.queues[r.Key], k)
 	}
 	d.open = append(d.open, r.ID)
@@ -277,7 +281,7 @@
 // left with nobody to end it.
 func (d *driver) mustBeHeld(id string) {
 	k := d.c.reqs[id]
-	waits := len(k.tries) == 0 && d.c.set.Classes[k.r.Class].ByArrival && k.r.Key != "" &&
+	waits := len(k.tries) == 0 && k.class.ByArrival && k.r.Key != "" &&
 		slices.ContainsFunc(d.c.timers, func(t timer) bool { return t.due <= k.r.GiveUp && strings.Contains(t.token, id) })
 	if !k.closed && len(k.pending) == 0 && !waits {
 		d.c.fault("rule 1: %s is neither answered nor out", id)
@@ -306,10 +310,10 @@
 	k.pending = k.pending[1:]
 	t := k.tries[n]
 	t.done = true
-	if d.c.set.Classes[k.r.Class].ByArrival && (status == TimedOut || status == Reset || status == Cancelled) {
-		d.c.rested[k.r.Key] = max(d.c.rested[k.r.Key], d.now+d.c.set.OrderSettle)
+	if k.class.ByArrival && (status == TimedOut || status == Reset || status == Cancelled) {
+		d.c.rested[k.r.Key] = max(d.c.rested[k.r.Key], d.now+t.set.OrderSettle)
 	}
-	t.ran = (status != FullUp || d.c.set.FullMayRun) && status != ConnectFailed && status != Moot
+	t.ran = (status != FullUp || t.set.FullMayRun) && status != ConnectFailed && status != Moot
 	if status == OK {
 		k.closed = true
 	}
@@ -349,6 +353,9 @@
 }
 
 func (d *driver) step() {
+	if d.change != nil {
+		d.change(d)
+	}
 	d.now = min(d.now+d.rnd.Int64N(20_000), d.nextDue())
 	d.c.now = d.now
 	d.expire()
@@ -386,8 +393,9 @@
 	d.b.Withdrawn(d.now, d.c, k.r.ID)
 }
 
-// play drives a whole sequence and returns what the module did and what it did wrong.
-func play(t *testing.T, seed uint64, steps int) ([]string, []string) {
+// play drives a whole sequence and returns what the module did and what it did wrong. change may be nil, or may
+// reconfigure the module before each step.
+func play(t *testing.T, seed uint64, steps int, change func(*driver)) ([]string, []string) {
 	s := testSettings()
 	s.Tenants = []Tenant{{Portion: 0.6, Quota: 30}, {Portion: 0.4, Quota: 20}}
 	s.Stage = int(seed % 2)
@@ -399,7 +407,7 @@
 	if seed%5 > 1 {
 		s.BudgetSpan, s.BudgetFree, s.BudgetShare = 5*second, 3, 0.05
 	}
-	d := &driver{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), c: &checker{set: s, now: start}, now: start}
+	d := &driver{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), c: &checker{set: s, now: start}, now: start, change: change}
 	d.restart()
 	for range steps {
 		d.step()
@@ -410,7 +418,7 @@
 func TestRandomSequencesKeepTheRules(t *testing.T) {
 	total := map[string]int{}
 	for seed := range uint64(24) {
-		lines, faults := play(t, seed, 6000)
+		lines, faults := play(t, seed, 6000, nil)
 		for i, f := range faults {
 			if i < 3 {
 				t.Errorf("seed %d: %s", seed, f)
@@ -432,8 +440,8 @@
 
 func TestSameEventsGiveSameActions(t *testing.T) {
 	for seed := range uint64(4) {
-		one, _ := play(t, seed, 3000)
-		two, _ := play(t, seed, 3000)
+		one, _ := play(t, seed, 3000, nil)
+		two, _ := play(t, seed, 3000, nil)
 		if !slices.Equal(one, two) {
 			t.Errorf("seed %d: two runs differ", seed)
 		}
--- /dev/null
+++ b/logic/reconfigure_test.go
@@ -0,0 +1,388 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// named gives the classes and tenants names, so that Reconfigure knows them again wherever they stand.
+func named(s Settings) Settings {
+	s.Classes, s.Tenants = slices.Clone(s.Classes), slices.Clone(s.Tenants)
+	for i := range s.Classes {
+		s.Classes[i].Name = fmt.Sprint("class", i)
+	}
+	for i := range s.Tenants {
+		s.Tenants[i].Name = fmt.Sprint("tenant", i)
+	}
+	return s
+}
+
+func mustReconfigure(t *testing.T, b *Balancer, s Settings) {
+	t.Helper()
+	if err := b.Reconfigure(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// impossible are settings that a proxy of these can't take while it runs.
+func impossible(s Settings) map[string]Settings {
+	all := map[string]Settings{}
+	add := func(field string, spoil func(*Settings)) {
+		bad := s
+		bad.Classes, bad.Tenants = slices.Clone(s.Classes), slices.Clone(s.Tenants)
+		bad.Siblings, bad.MaxAttempts = s.Siblings+7, s.MaxAttempts+7 // nothing of it may be taken
+		spoil(&bad)
+		all[field] = bad
+	}
+	add("Classes", func(s *Settings) { s.Classes = nil })
+	add("Zone", func(s *Settings) { s.Zone = s.Zones })
+	add("MaxAttempts", func(s *Settings) { s.MaxAttempts = 0 })
+	add("Aim", func(s *Settings) { s.Classes[len(s.Classes)-1].Aim = 0 })
+	add("Window", func(s *Settings) { s.Classes[0].Window = -1 })
+	add("Tenants", func(s *Settings) { s.Tenants = append(s.Tenants, Tenant{Quota: -1}) })
+	add("Stage", func(s *Settings) { s.Stage++ })
+	add("Subscribe", func(s *Settings) { s.Subscribe, s.AskEvery = !s.Subscribe, second })
+	return all
+}
+
+// operators take servers out and put them back, the same ones for the same seed.
+func operators(seed uint64) func(*driver) {
+	rnd := rand.New(rand.NewPCG(seed, 4))
+	return func(d *driver) {
+		switch id := fmt.Sprintf("s%d", rnd.IntN(testFleet)); rnd.IntN(50) {
+		case 0:
+			d.b.Detach(id)
+		case 1, 2:
+			d.b.Attach(d.now, id)
+		}
+	}
+}
+
+// A day on which the settings in force are put in force again and again is the same day.
+func TestEqualSettingsChangeNothing(t *testing.T) {
+	for seed := range uint64(12) {
+		plain, _ := play(t, seed, 4000, operators(seed))
+		operate := operators(seed)
+		again, _ := play(t, seed, 4000, func(d *driver) {
+			operate(d)
+			mustReconfigure(t, d.b, d.c.set)
+		})
+		if !slices.Equal(plain, again) {
+			t.Errorf("seed %d: the day differs", seed)
+		}
+	}
+}
+
+// Settings that are refused change nothing either, whatever is wrong with them.
+func TestRefusedSettingsChangeNothing(t *testing.T) {
+	refuse := func(d *driver) {
+		for field, s := range impossible(d.c.set) {
+			if err := d.b.Reconfigure(s); err == nil || !strings.Contains(err.Error(), field) {
+				t.Fatalf("%s: got %v", field, err)
+			}
+		}
+	}
+	for seed := range uint64(6) {
+		plain, _ := play(t, seed, 2000, nil)
+		again, _ := play(t, seed, 2000, refuse)
+		if !slices.Equal(plain, again) {
+			t.Errorf("seed %d: the day differs", seed)
+		}
+	}
+}
+
+// changer draws other settings now and then. Its classes come, go, move and change.
+type changer struct {
+	rnd    *rand.Rand
+	next   int // number of the next new class
+	taken  int // settings put in force
+	gone   int // classes that were taken out
+	behind int // requests that were out then
+}
+
+func (c *changer) change(d *driver) {
+	if c.rnd.IntN(40) > 0 {
+		return
+	}
+	s := d.c.set
+	s.Classes, s.Tenants = slices.Clone(s.Classes), slices.Clone(s.Tenants)
+	for range 1 + c.rnd.IntN(3) {
+		c.changeClasses(&s)
+		c.changeFigures(&s)
+	}
+	mustReconfigure(d.t, d.b, s)
+	c.taken++
+	for _, id := range d.open {
+		k := d.c.reqs[id]
+		if len(k.pending) > 0 && !slices.ContainsFunc(s.Classes, func(x Class) bool { return x.Name == k.class.Name }) {
+			c.behind++
+		}
+	}
+	d.c.set = s
+}
+
+func (c *changer) changeClasses(s *Settings) {
+	i := c.rnd.IntN(len(s.Classes))
+	switch x := c.rnd.IntN(5); {
+	case x == 0 && len(s.Classes) > 2:
+		s.Classes = slices.Delete(s.Classes, i, i+1)
+		c.gone++
+	case x == 1 && len(s.Classes) < 8:
+		c.next++
+		k := s.Classes[i]
+		k.Name = fmt.Sprint("new", c.next%4) // some have been there before
+		if !slices.ContainsFunc(s.Classes, func(x Class) bool { return x.Name == k.Name }) {
+			s.Classes = slices.Insert(s.Classes, i, k)
+		}
+	case x == 2:
+		c.rnd.Shuffle(len(s.Classes), func(i, j int) { s.Classes[i], s.Classes[j] = s.Classes[j], s.Classes[i] })
+	default:
+		k := &s.Classes[i]
+		k.Repeat, k.Group, k.ByArrival = Repeat(c.rnd.IntN(3)), Group(c.rnd.IntN(3)), c.rnd.IntN(3) == 0
+		k.Window, k.Aim = c.rnd.Int64N(600_000), 200_000+c.rnd.Int64N(600_000)
+		k.LateWorth, k.Worth = float64(c.rnd.IntN(2))*0.3, 1+float64(c.rnd.IntN(20))
+	}
+}
+
+func (c *changer) changeFigures(s *Settings) {
+	switch c.rnd.IntN(6) {
+	case 0:
+		s.Tenants = append(s.Tenants[1:], Tenant{Name: fmt.Sprint("t", c.rnd.IntN(5)), Portion: 0.5, Quota: 30})
+	case 1:
+		s.Siblings, s.Ordinal, s.Zone = 1+c.rnd.IntN(5), c.rnd.IntN(5), c.rnd.IntN(2)
+	case 2:
+		s.MaxAttempts, s.FullMayRun = 1+c.rnd.IntN(5), !s.FullMayRun
+	case 3:
+		s.OrderSettle, s.MaxRetryAfter = c.rnd.Int64N(100_000), c.rnd.Int64N(second)
+	case 4:
+		s.BudgetSpan, s.BudgetFree, s.BudgetShare = c.rnd.Int64N(20)*second, float64(c.rnd.IntN(6)), 0.05
+	case 5:
+		s.StartCapacity, s.ByWork = 0.1+0.2*c.rnd.Float64(), !s.ByWork
+	}
+}
+
+// Requests whose class changes or goes while they are out keep the effect, group and window that they came with.
+func TestRandomReconfigurationsKeepTheRules(t *testing.T) {
+	all := changer{}
+	for seed := range uint64(40) {
+		c := &changer{rnd: rand.New(rand.NewPCG(seed, 2))}
+		_, faults := play(t, seed, 5000, c.change)
+		for i, f := range faults {
+			if i < 3 {
+				t.Errorf("seed %d: %s", seed, f)
+			}
+		}
+		all.taken, all.gone, all.behind = all.taken+c.taken, all.gone+c.gone, all.behind+c.behind
+	}
+	if all.taken < 1000 || all.gone < 100 || all.behind < 100 {
+		t.Errorf("the sequences test too little: %+v", all)
+	}
+}
+
+func TestSameEventsWithReconfigurationsGiveSameActions(t *testing.T) {
+	for seed := range uint64(4) {
+		day := func() []string {
+			lines, _ := play(t, seed, 3000, (&changer{rnd: rand.New(rand.NewPCG(seed, 3))}).change)
+			return lines
+		}
+		if !slices.Equal(day(), day()) {
+			t.Errorf("seed %d: two runs differ", seed)
+		}
+	}
+}
+
+// How often and until when a request may be sent again was decided when it came.
+func TestARequestInFlightKeepsItsClass(t *testing.T) {
+	for name, c := range map[string]struct {
+		was, becomes Class
+		status       Status
+		after        int64
+		again        bool
+	}{
+		"an unsafe one is not sent again": {Class{Repeat: Unsafe}, Class{Repeat: Safe}, Reset, 1000, false},
+		"a safe one is sent again":        {Class{Repeat: Safe}, Class{Repeat: Unsafe}, Reset, 1000, true},
+		"a window grows no longer": {Class{Repeat: Keyed, Window: 100_000}, Class{Repeat: Keyed, Window: 900_000},
+			Reset, 150_000, false},
+		"a window gets no shorter": {Class{Repeat: Keyed, Window: 900_000}, Class{Repeat: Keyed, Window: 100_000},
+			Reset, 150_000, true},
+		"a group gets no wider": {Class{Repeat: Keyed, Window: 900_000, Group: GroupCell},
+			Class{Repeat: Keyed, Window: 900_000}, Reset, 1000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testSettings()
+			s.Classes = []Class{c.was}
+			s.Classes[0].Name, s.Classes[0].Aim, s.Classes[0].Deadline, s.Classes[0].Worth = "a", 500_000, 1_500_000, 1
+			s.Classes[0].LateWorth = 0.3
+			b, h := with(t, s, 1)
+			b.List(start, h, Delta, []Server{{ID: "other", Cell: 9, State: Ready, Size: 1}})
+			ask(b, h, start, "r", 0)
+			s.Classes = slices.Clone(s.Classes)
+			s.Classes[0].Repeat, s.Classes[0].Window, s.Classes[0].Group = c.becomes.Repeat, c.becomes.Window, c.becomes.Group
+			mustReconfigure(t, b, s)
+			b.Outcome(start+c.after, h, Outcome{ID: "r", Status: c.status, Took: c.after})
+			if again := len(h.sends) == 2 && h.sends[1].server != h.sends[0].server; again != c.again {
+				t.Errorf("sent to another: %v, then %q", again, h.last())
+			}
+		})
+	}
+}
+
+// A class that goes leaves its requests to their end, and a later class of that name or place begins afresh.
+func TestAClassThatGoesLeavesItsRequests(t *testing.T) {
+	s := named(testSettings())
+	b, h := with(t, s, 4)
+	ask(b, h, start, "r", 0)
+	first := h.sends[0].server
+	less := s
+	less.Classes = s.Classes[1:]
+	mustReconfigure(t, b, less)
+	b.Outcome(start+1000, h, Outcome{ID: "r", Status: Error, Took: 1000})
+	if len(h.sends) != 2 || h.sends[1].server == first {
+		t.Fatalf("got %q", h.lines)
+	}
+	mustReconfigure(t, b, s)
+	if c := b.classes[0]; c.rule.threads != 0 || c.seen != 0 || c.errs != 0 {
+		t.Errorf("a class that came back has %+v", c)
+	}
+	b.Outcome(start+2000, h, Outcome{ID: "r", Attempt: 1, Status: Error, Took: 1000})
+	b.Outcome(start+3000, h, Outcome{ID: "r", Attempt: 2, Status: OK, Took: 1000, Closed: true})
+	for _, server := range b.all {
+		if left := server.health(b.classes[0]).left; left != 1 {
+			t.Errorf("the old request's failures left %v of %s to the class that came back", left, server.ID)
+		}
+	}
+	if c := b.classes[0]; c.rule.threads != 0 || c.seen != 0 || b.tier.threads != 0 || len(b.reqs) != 0 {
+		t.Errorf("after the old request's end: %+v, %d in the tier, %d kept", c, b.tier.threads, len(b.reqs))
+	}
+}
+
+// Counts, times and the health of servers follow their classes and tenants, wherever these now stand.
+func TestWhatWasLearnedStaysWithItsName(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Portion: 0.6, Quota: 30}, {Portion: 0.4, Quota: 20}}
+	s = named(s)
+	b, _ := with(t, s, 3)
+	b.tier.count, b.share, b.spill, b.errs = 7.5, 0.6, 0.4, 0.2
+	b.classes[1].rule.count, b.classes[1].mean, b.classes[1].base, b.classes[1].seen = 30, 400_000, 300_000, 9
+	b.byID["s1"].whole.left, b.byID["s2"].slowness = 0.1, 2
+	b.byID["s0"].health(b.classes[2]).left, b.byID["s0"].health(b.classes[0]).left = 0.5, 0.3
+	b.tenants[1].came.add(start)
+	before := b.Learned()
+
+	moved := s
+	fresh := Class{Name: "fresh", Aim: 800_000, Deadline: 1_500_000, Worth: 1}
+	moved.Classes = []Class{s.Classes[2], s.Classes[1], fresh} // 0, 3 and 4 go
+	moved.Tenants = []Tenant{s.Tenants[1], {Name: "fresh", Portion: 0.6, Quota: 10}}
+	moved.Siblings = 2
+	mustReconfigure(t, b, moved)
+	after := b.Learned()
+	if after.Tier != 7.5 || after.Share != 0.6 || after.Spill != 0.4 || after.Errs != 0.2 {
+		t.Errorf("of the tier: %+v", after)
+	}
+	want := []LearnedClass{before.Classes[2], before.Classes[1], {Count: startCount, Mean: 200_000, Base: 200_000}}
+	if !reflect.DeepEqual(after.Classes, want) {
+		t.Errorf("of the classes: got %+v, want %+v", after.Classes, want)
+	}
+	if got := after.Servers["s0"].Classes; !slices.Equal(got, []float64{0.5, 1, 1}) {
+		t.Errorf("of s0: got %v", got)
+	}
+	if after.Servers["s1"].Left != 0.1 || after.Servers["s2"].Slowness != 2 {
+		t.Errorf("of the servers: %+v", after.Servers)
+	}
+	if b.tenants[0].came.n != 1 || b.tenants[1].came.n != 0 || b.tenants[0].portion != 0.4 || b.fair != 15 {
+		t.Errorf("of the tenants: %+v and %+v, %v together", b.tenants[0], b.tenants[1], b.fair)
+	}
+	if b.tier.ev.span != roundSpan*800_000 {
+		t.Errorf("a round lasts %d us", b.tier.ev.span)
+	}
+}
+
+// Without names, as in settings made by hand, classes are known again by their places.
+func TestClassesWithoutNamesAreKnownByTheirPlaces(t *testing.T) {
+	b, _ := with(t, testSettings(), 1)
+	b.classes[1].rule.count, b.classes[4].rule.count = 30, 50
+	s := testSettings()
+	s.Classes = append(s.Classes[:4:4], s.Classes...)
+	mustReconfigure(t, b, s)
+	if b.classes[1].rule.count != 30 || b.classes[4].rule.count != 50 || b.classes[5].rule.count != startCount {
+		t.Errorf("counts %v, %v, %v", b.classes[1].rule.count, b.classes[4].rule.count, b.classes[5].rule.count)
+	}
+}
+
+// A longer span of the budget counts what was sent before it was in force.
+func TestALongerBudgetKnowsWhatWasSentBefore(t *testing.T) {
+	s := named(testSettings())
+	s.BudgetSpan, s.BudgetFree = second, 1
+	b, h := with(t, s, 4)
+	fail := func(now int64, id string) (sends int) {
+		ask(b, h, now, id, 0)
+		n := len(h.sends)
+		b.Outcome(now+1, h, Outcome{ID: id, Status: Error, Took: 1})
+		return len(h.sends) - n
+	}
+	if fail(start, "a") != 1 || fail(start+2*second, "b") != 1 {
+		t.Fatal("the budget of one in a second is not given")
+	}
+	s.BudgetSpan = 30 * second
+	mustReconfigure(t, b, s)
+	if fail(start+20*second, "c") != 0 {
+		t.Error("a second one in 30 s")
+	}
+	if fail(start+40*second, "d") != 1 {
+		t.Error("none after 30 s")
+	}
+}
+
+// The caller may go on using what it has handed over.
+func TestSettingsAreCopied(t *testing.T) {
+	s := named(testSettings())
+	b, h := with(t, s, 4)
+	other := named(testSettings())
+	mustReconfigure(t, b, other)
+	s.Classes[2].Repeat, other.Classes[2].Repeat = Safe, Safe
+	ask(b, h, start, "r", 2)
+	if b.Outcome(start+1000, h, Outcome{ID: "r", Status: Reset, Took: 1000}); h.last() != "fail r" {
+		t.Errorf("got %q", h.last())
+	}
+}
+
+// A key rests after an attempt for as long as was in force when that was sent, also when the next one's rest is shorter.
+func TestAKeyRestsAsLongAsItsAttemptsWereToldTo(t *testing.T) {
+	s := named(testSettings())
+	s.Classes[0].ByArrival, s.OrderSettle = true, 100_000
+	b, h := with(t, s, 4)
+	ordered := func(id string) {
+		b.Request(start, h, Request{ID: id, Key: "k", GiveUp: start + second})
+	}
+	ordered("a")
+	ordered("b")
+	s.OrderSettle = 0
+	mustReconfigure(t, b, s)
+	b.Outcome(start+1000, h, Outcome{ID: "a", Status: Reset, Took: 1000})
+	b.Outcome(start+2000, h, Outcome{ID: "a", Attempt: 1, Status: Reset, Took: 1000})
+	b.Outcome(start+3000, h, Outcome{ID: "a", Attempt: 2, Status: OK, Took: 1000, Closed: true})
+	if len(h.sends) != 3 {
+		t.Fatalf("before the rest of 100 ms is over: %q", h.lines)
+	}
+	if b.Timer(start+101_000, h, turnToken+"k"); h.sends[len(h.sends)-1].id != "b" {
+		t.Errorf("after it: %q", h.lines)
+	}
+}
+
+// The place of this copy among its siblings decides which servers are its own.
+func TestANewOrdinalTakesOtherServers(t *testing.T) {
+	s := named(testSettings())
+	b, _ := with(t, s, 8)
+	s.Ordinal = 1
+	fresh, _ := with(t, s, 8)
+	mustReconfigure(t, b, s)
+	for i := range b.ready {
+		if b.ready[i].ID != fresh.ready[i].ID {
+			t.Fatalf("server %d is %s, where a fresh copy has %s", i, b.ready[i].ID, fresh.ready[i].ID)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -17,6 +17,8 @@
 	reportEvery  = 10 * second // between log lines of one copy
 	tallySpan    = 30 * second // memory of a tally
 	windowWhole  = windowTicks * windowBucket
+	budgetKept   = 60 * second // further attempts are remembered for so long, as Reconfigure may set a longer BudgetSpan
+	noSlot       = -1
 )
 
 // window counts events over a sliding time of up to windowTicks buckets.
@@ -69,17 +71,14 @@
 // add takes an event and forgets those that are older than span.
 func (l *timeline) add(now, span int64) {
 	*l = append(*l, now)
-	l.since(now - span)
+	before, _ := slices.BinarySearch(*l, now-span)
+	*l = (*l)[before:]
 }
 
-// since forgets the events before from and counts the rest.
-func (l *timeline) since(from int64) float64 {
-	n := 0
-	for n < len(*l) && (*l)[n] < from {
-		n++
-	}
-	*l = (*l)[n:]
-	return float64(len(*l))
+// since counts the events from then on.
+func (l timeline) since(from int64) float64 {
+	before, _ := slices.BinarySearch(l, from)
+	return float64(len(l) - before)
 }
 
 // node holds the statistics that rules read: calls in flight and calls passed.
@@ -91,6 +90,7 @@
 
 // classState is a class's rule and what is known of its times.
 type classState struct {
+	slot    int // its place in server.classes; noSlot once the settings have it no more
 	rule    threadRule
 	yield   round      // evidence of classes that are worth clearly more
 	mean    float64    // of successes
@@ -104,7 +104,7 @@
 	Server
 	slowness float64 // running time of its calls against the mean of all
 	whole    health
-	classes  []health // for the calls of each class
+	classes  []health // for the calls of each class, by classState.slot
 	inflight int
 	hash     uint64
 	back     int64 // when operators put it back to work; 0: never
@@ -115,13 +115,27 @@
 type health struct{ left, errs float64 }
 
 // forget drops what was learned of a server.
-func (s *server) forget(classes int) {
-	s.slowness, s.whole, s.classes = 1, health{left: 1}, make([]health, classes)
-	for i := range s.classes {
-		s.classes[i].left = 1
+func (s *server) forget(slots int) {
+	s.slowness, s.whole, s.classes = 1, health{left: 1}, nil
+	s.reserve(slots)
+}
+
+// reserve makes room for as many classes.
+func (s *server) reserve(slots int) {
+	for len(s.classes) < slots {
+		s.classes = append(s.classes, health{left: 1})
 	}
 }
 
+// health is that for the calls of a class. Of one that is no longer in the settings nothing is kept.
+func (s *server) health(c *classState) *health {
+	if c.slot == noSlot {
+		return &health{left: 1}
+	}
+	s.reserve(c.slot + 1) // one that has left the list was passed over when the class came
+	return &s.classes[c.slot]
+}
+
 // partOf is one observation of a running part: 1 if it is so, else 0.
 func partOf(so bool) float64 {
 	if so {
@@ -130,13 +144,15 @@
 	return 0
 }
 
-func (s *server) healthFor(class int) float64 { return s.whole.left * s.classes[class].left }
+func (s *server) healthFor(c *classState) float64 { return s.whole.left * s.health(c).left }
 
 type attempt struct {
 	srv    *server
-	begun  int64 // when it was decided on
-	sent   int64 // the same, or when the last byte of a streamed request had gone out
-	zone   int   // as listed at the time of sending
+	set    *Settings // in force when it was decided on
+	kind   *Class    // its request's
+	begun  int64     // when it was decided on
+	sent   int64     // the same, or when the last byte of a streamed request had gone out
+	zone   int       // as listed at the time of sending
 	cell   int
 	slow   bool // counted as slow before its end
 	mayRun bool // outstanding, or ended without proof that it never ran
@@ -157,6 +173,9 @@
 
 type request struct {
 	Request
+	kind     *Class      // as it was when the request came
+	class    *classState // what is known of its class
+	origin   *originRule // its tenant's; nil without one: the tenant rule is skipped
 	came     int64
 	turn     *turn // nil if it need not wait its turn
 	attempts []*attempt
@@ -191,7 +210,7 @@
 		b.all = append(b.all, s)
 	}
 	if s.ID == "" || s.Launched != e.Launched {
-		s.forget(len(b.classes))
+		s.forget(b.slots)
 	}
 	s.Server = e
 }
@@ -233,12 +252,13 @@
 // originRule limits the calls passed per second for one tenant.
 type originRule struct {
 	node
-	came tally // its requests
+	portion float64
+	came    tally // its requests
 }
 
 // Balancer decides for one proxy.
 type Balancer struct {
-	s         Settings
+	s         *Settings // those in force; never changed, but replaced by Reconfigure
 	rnd       *rand.Rand
 	byID      map[string]*server
 	all       []*server        // in order of first listing
@@ -248,10 +268,11 @@
 	reqs      map[string]*request
 	turns     map[string]*turn
 	tier      threadRule
-	tenants   []originRule
-	classes   []classState
-	fair      float64 // rate of all tenants inside their shares at one copy
-	share     float64 // multiple of its share that a tenant may pass
+	tenants   []*originRule // in the order of the settings
+	classes   []*classState // in the order of the settings
+	slots     int           // classState.slot is less
+	fair      float64       // rate of all tenants inside their shares at one copy
+	share     float64       // multiple of its share that a tenant may pass
 	shareMost float64
 	shareBad  float64 // what a bad round leaves of share at most
 	shareEv   round
@@ -274,14 +295,6 @@
 	n.peak = max(n.peak, n.threads)
 }
 
-// origin is the node of the request's tenant; without one the tenant rule is skipped.
-func (b *Balancer) origin(q *request) *originRule {
-	if q.Tenant < 0 || q.Tenant >= len(b.tenants) {
-		return nil
-	}
-	return &b.tenants[q.Tenant]
-}
-
 // gainAfter is the gain of a running mean: that of a plain mean over what was seen, until that falls to least.
 func gainAfter(seen, least float64) float64 { return max(least, 1/(firstWorth+seen)) }
 
