--- a/cmd/fernlanding/main.go
+++ b/cmd/fernlanding/main.go
@@ -7,11 +7,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
-	"net"
 	"os"
 	"os/signal"
-	"runtime"
 	"strconv"
 	"syscall"
 
@@ -36,14 +33,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	cfg, lim, err := load(os.Getenv)
+	cfg, err := load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	cfg.Log = log
-	if lim.Cores > 0 {
-		runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
-	}
 	p, err := proxy.New(cfg)
 	if err != nil {
 		return err
@@ -54,7 +48,7 @@
 		for {
 			select {
 			case <-hups:
-				renew(os.Getenv, p.Renew, log)
+				reload(os.Getenv, p.Reload, log)
 			case <-ended:
 				return
 			}
@@ -63,30 +57,16 @@
 	return p.Run(ctx)
 }
 
-// renew reads the configuration again after SIGHUP and passes the address of discovery on; the rest of it
-// holds from the next start. A file that makes no sense changes nothing.
-func renew(env func(string) string, watch func(address string), log *slog.Logger) {
-	cfg, _, err := load(env)
-	if err == nil { // the proxy would leave an address that works for one that can't
-		err = checkAddress(cfg.Discovery)
-	}
-	if err != nil {
-		log.Error("new configuration not taken", "error", err)
-		return
-	}
-	log.Info("new configuration", "discovery", cfg.Discovery)
-	watch(cfg.Discovery)
-}
-
-func checkAddress(addr string) error {
-	_, port, err := net.SplitHostPort(addr)
+// reload reads the configuration again after SIGHUP and has the proxy take it. One that is refused changes nothing and
+// is one line in the log.
+func reload(env func(string) string, take func(proxy.Config) error, log *slog.Logger) {
+	cfg, err := load(env)
 	if err == nil {
-		_, err = strconv.ParseUint(port, 10, 16)
+		err = take(cfg)
 	}
 	if err != nil {
-		return fmt.Errorf("discovery: %w", err)
+		log.Error("new configuration not taken", "error", err)
 	}
-	return nil
 }
 
 type limits struct {
@@ -96,15 +76,15 @@
 }
 
 // load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN, LB_CONSOLE and LB_DISCOVERY stand in for what it lacks.
-func load(env func(string) string) (proxy.Config, limits, error) {
+func load(env func(string) string) (proxy.Config, error) {
 	var cfg proxy.Config
 	path := env("LB_CONFIG")
 	if path == "" {
-		return cfg, limits{}, errors.New("LB_CONFIG is not set")
+		return cfg, errors.New("LB_CONFIG is not set")
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return cfg, limits{}, err
+		return cfg, err
 	}
 	var file struct {
 		Name      string          `json:"name"`
@@ -112,15 +92,15 @@
 		Console   string          `json:"console"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
-		Limits    limits          `json:"limits"`
+		Limits    json.RawMessage `json:"limits"`
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
-		return cfg, file.Limits, fmt.Errorf("%s: %w", path, err)
+		return cfg, fmt.Errorf("%s: %w", path, err)
 	}
-	cfg.Listen, cfg.Discovery, cfg.Sockets = file.Listen, file.Discovery, file.Limits.Sockets
-	cfg.MemoryMB, cfg.Name, cfg.Console, cfg.TempDir = file.Limits.MemoryMB, file.Name, file.Console, env("TMPDIR")
+	cfg.Listen, cfg.Discovery = file.Listen, file.Discovery
+	cfg.Name, cfg.Console, cfg.TempDir = file.Name, file.Console, env("TMPDIR")
 	if cfg.Name == "" {
 		cfg.Name = env("LB_NAME")
 	}
@@ -134,30 +114,48 @@
 		cfg.Discovery = env("LB_DISCOVERY")
 	}
 	if cfg.Listen == "" || cfg.Discovery == "" {
-		return cfg, file.Limits, errors.New("listen or discovery is missing")
+		return cfg, errors.New("listen or discovery is missing")
 	}
 	if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return cfg, file.Limits, fmt.Errorf("seed: %w", err)
+		return cfg, fmt.Errorf("seed: %w", err)
 	}
-	if cfg.Sockets < 0 || file.Limits.Cores < 0 || file.Limits.MemoryMB < 0 {
-		return cfg, file.Limits, errors.New("limits: negative")
-	}
-	if cfg.Sockets == 0 {
-		cfg.Sockets = defaultSockets
+	if err := takeLimits(&cfg, file.Limits); err != nil {
+		return cfg, fmt.Errorf("limits: %w", err)
 	}
 	if len(file.Settings) == 0 {
-		return cfg, file.Limits, errors.New("settings is missing")
+		return cfg, errors.New("settings is missing")
 	}
 	if cfg.Site, err = settings.Decode(file.Settings); err == nil {
 		err = cfg.Site.CheckSockets()
 	}
 	if err != nil {
-		return cfg, file.Limits, fmt.Errorf("settings: %w", err)
+		return cfg, fmt.Errorf("settings: %w", err)
+	}
+	if cfg.Version, err = settings.Version(file.Limits, file.Settings); err != nil {
+		return cfg, fmt.Errorf("settings: %w", err)
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
 		if cfg.Known, err = discovery.ParseList(file.Known); err != nil {
-			return cfg, file.Limits, fmt.Errorf("known: %w", err)
+			return cfg, fmt.Errorf("known: %w", err)
+		}
+	}
+	return cfg, nil
+}
+
+// takeLimits reads what the process may use; data may be empty.
+func takeLimits(cfg *proxy.Config, data json.RawMessage) error {
+	var l limits
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &l); err != nil {
+			return err
 		}
 	}
-	return cfg, file.Limits, nil
+	if l.Sockets < 0 || l.Cores < 0 || l.MemoryMB < 0 {
+		return errors.New("negative")
+	}
+	cfg.Sockets, cfg.MemoryMB, cfg.Cores = l.Sockets, l.MemoryMB, l.Cores
+	if cfg.Sockets == 0 {
+		cfg.Sockets = defaultSockets
+	}
+	return nil
 }
--- a/cmd/fernlanding/main_test.go
+++ b/cmd/fernlanding/main_test.go
@@ -1,11 +1,21 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
+
+	"fernlanding/internal/proxy"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",` +
@@ -20,7 +30,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cfg, _, err := load(func(name string) string {
+	cfg, err := load(func(name string) string {
 		if name == "LB_CONFIG" {
 			return path
 		}
@@ -55,36 +65,179 @@
 			t.Errorf("%q for %q: got %v", c.new, c.old, err)
 		}
 	}
-	if _, _, err := load(func(string) string { return "" }); err == nil {
+	if _, err := load(func(string) string { return "" }); err == nil {
 		t.Error("no LB_CONFIG is no error")
 	}
 }
 
-// After SIGHUP the file is read again; what makes no sense is logged and changes nothing.
-func TestANewConfigurationNamesDiscovery(t *testing.T) {
+// started is a proxy at work with the configuration in a file. It ends with the test.
+func started(t *testing.T, path string, log *slog.Logger) *proxy.Proxy {
+	t.Helper()
+	cfg, err := load(environment(path))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Log = log
+	p, err := proxy.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+// environment names a configuration file and nothing else.
+func environment(path string) func(string) string {
+	return func(name string) string {
+		if name == "LB_CONFIG" {
+			return path
+		}
+		return ""
+	}
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// After SIGHUP the file is read again. What makes no sense, or can't change while the proxy runs, is one line in the log
+// and changes nothing.
+func TestANewConfigurationIsTakenOrRefusedWhole(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
-	var told, logged []string
-	log := slog.New(slog.NewTextHandler(writerFunc(func(b []byte) { logged = append(logged, string(b)) }), nil))
-	for _, text := range []string{good, good[:99], "", strings.Replace(good, "127.0.0.1:1", "nowhere", 1),
-		strings.Replace(good, "127.0.0.1:1", "127.0.0.1:port", 1), strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1)} {
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
+	write(t, path, good)
+	var mu sync.Mutex
+	var logged []string
+	log := slog.New(slog.NewTextHandler(writerFunc(func(b []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.Contains(string(b), "settings in force") || strings.Contains(string(b), "not taken") {
+			logged = append(logged, string(b))
 		}
-		renew(func(string) string { return path }, func(addr string) { told = append(told, addr) }, log)
+	}), nil))
+	p := started(t, path, log)
+	var told []string
+	take := func(cfg proxy.Config) error {
+		err := p.Reload(cfg)
+		if err == nil {
+			told = append(told, cfg.Discovery)
+		}
+		return err
+	}
+	texts := []struct{ old, new, refusal string }{
+		{good, good, ""},
+		{good, good[:99], "unexpected end"},
+		{good, "", "unexpected end"},
+		{"127.0.0.1:1", "nowhere", "discovery"},
+		{"127.0.0.1:1", "127.0.0.1:port", "discovery"},
+		{"127.0.0.1:0", "127.0.0.1:9", "listen"},
+		{`"n3"`, `"n4"`, "name"},
+		{`"siblings":1`, `"siblings":0`, "Siblings"},
+		{`"siblings":1`, `"siblings":1,"stage":1`, "Stage: a change needs a restart"},
+		{`"automatic"`, `"subscribe"`, "AskEvery"},
+		{`"sockets":512`, `"sockets":40`, "sockets are too few"},
+		{"127.0.0.1:1", "127.0.0.1:2", ""},
+		{`"siblings":1`, `"siblings":2`, ""},
+	}
+	for _, c := range texts {
+		write(t, path, strings.Replace(good, c.old, c.new, 1))
+		reload(environment(path), take, log)
 	}
-	if len(told) != 2 || told[0] != "127.0.0.1:1" || told[1] != "127.0.0.1:2" {
+	if want := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:1"}; !slices.Equal(told, want) {
 		t.Errorf("told %q", told)
 	}
-	if len(logged) != 6 {
+	mu.Lock()
+	defer mu.Unlock()
+	if len(logged) != 1+len(texts) { // one at the start
 		t.Fatalf("logged %q", logged)
 	}
-	for _, line := range logged[1:5] {
-		if !strings.Contains(line, "not taken") {
-			t.Errorf("logged %q", line)
+	for i, c := range texts {
+		line := logged[1+i]
+		if refused := strings.Contains(line, "not taken"); refused != (c.refusal != "") || !strings.Contains(line, c.refusal) {
+			t.Errorf("%s: logged %q", c.new, line)
 		}
 	}
+	// What docs/oncall.md has operators compute from the two files.
+	if first, last := logged[0], logged[len(logged)-1]; !strings.Contains(first, "version=d693ccca0c79 ") ||
+		!strings.Contains(last, "version=344e844e1259 ") {
+		t.Errorf("the first line is %q, the last one %q", first, last)
+	}
 }
 
+// The whole way: the signal, the file, the loop, a client's view. Of several signals the last file counts.
+func TestSIGHUPPutsTheFileInForce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := strings.Replace(good, "127.0.0.1:0", addr, 1)
+	write(t, path, text)
+	t.Setenv("LB_CONFIG", path)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	// known tells whether the proxy knows a class: one that it does not know is a client's fault.
+	known := func(class string) bool {
+		req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/"+class+"/k", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Request-Id", "1")
+		req.Header.Set("Request-Class", class)
+		req.Header.Set("Request-Timeout-Ms", "1000")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode != http.StatusBadRequest
+	}
+	until := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("never: %s", what)
+			}
+		}
+	}
+	signal := func(s syscall.Signal) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until("it serves", func() bool { return known("look") })
+	if known("c9") {
+		t.Error("a class of nowhere is known")
+	}
+	for i := range 10 {
+		write(t, path, strings.Replace(text, `"name":"look"`, fmt.Sprintf(`"name":"c%d"`, i), 1))
+		signal(syscall.SIGHUP)
+	}
+	until("the last file is in force", func() bool { return known("c9") })
+	if known("look") || known("c8") {
+		t.Error("a class of earlier files is known")
+	}
+	signal(syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+const patience = 20 * time.Second
+
 type writerFunc func([]byte)
 
 func (f writerFunc) Write(b []byte) (int, error) { f(b); return len(b), nil }
--- a/internal/discovery/zones.go
+++ b/internal/discovery/zones.go
@@ -20,7 +20,8 @@
 	return z
 }
 
-func (z Zones) number(name string) int {
+// Number is the number of a zone.
+func (z Zones) Number(name string) int {
 	if n, ok := z[name]; ok {
 		return n
 	}
@@ -34,7 +35,7 @@
 func (z Zones) Servers(entries []Endpoint) []logic.Server {
 	out := make([]logic.Server, 0, len(entries))
 	for _, e := range entries {
-		s := logic.Server{ID: e.Name, Zone: z.number(e.Zone), Cell: e.Group, Size: 1, Launched: e.SinceMs * 1000}
+		s := logic.Server{ID: e.Name, Zone: z.Number(e.Zone), Cell: e.Group, Size: 1, Launched: e.SinceMs * 1000}
 		switch e.Status {
 		case Serving:
 			s.State = logic.Ready
--- a/internal/proxy/console.go
+++ b/internal/proxy/console.go
@@ -32,11 +32,14 @@
 	log    *slog.Logger
 }
 
-// call is one of the console's calls; do returns nil for yes.
+// yes is the answer to a call that was done, where no more is to be told.
+const yes = "ok"
+
+// call is one of the console's calls; do returns the line of a yes, or why it is a no.
 type call struct {
 	method string
 	named  bool // the body names a backend
-	do     func(ctx context.Context, id string) error
+	do     func(ctx context.Context, id string) (word string, err error)
 }
 
 // no is a refusal of a call, with its status.
@@ -82,49 +85,50 @@
 
 // ServeHTTP answers one call.
 func (c *console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	status, word := http.StatusOK, "ok\n"
-	id, err := c.answer(w, r)
+	status := http.StatusOK
+	id, word, err := c.answer(w, r)
 	if err != nil {
-		status, word = http.StatusServiceUnavailable, err.Error()+"\n"
+		status, word = http.StatusServiceUnavailable, err.Error()
 		if n, ok := errors.AsType[no](err); ok {
 			status = n.status
 		}
 	}
 	if r.URL.Path != "/_ready" {
-		c.log.Info("console", "call", r.URL.Path, "id", id, "status", status, "word", strings.TrimSpace(word))
+		c.log.Info("console", "call", r.URL.Path, "id", id, "status", status, "word", word)
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(consoleBody)) // what is left of a body may never come
 	w.Header().Set("Content-Type", "text/plain")
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, word) // a caller that has gone is no fault
+	_, _ = io.WriteString(w, word+"\n") // a caller that has gone is no fault
 }
 
-func (c *console) answer(w http.ResponseWriter, r *http.Request) (id string, err error) {
+func (c *console) answer(w http.ResponseWriter, r *http.Request) (id, word string, err error) {
 	known, ok := c.calls[r.RequestURI]
 	if !ok {
-		return "", no{http.StatusNotFound, "no such call"}
+		return "", "", no{http.StatusNotFound, "no such call"}
 	}
 	if r.Method != known.method {
 		w.Header().Set("Allow", known.method)
-		return "", no{http.StatusMethodNotAllowed, "the call is " + known.method}
+		return "", "", no{http.StatusMethodNotAllowed, "the call is " + known.method}
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(consoleBody))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBody))
 	if errors.As(err, new(*http.MaxBytesError)) {
-		return "", no{http.StatusRequestEntityTooLarge, "the body is too large"}
+		return "", "", no{http.StatusRequestEntityTooLarge, "the body is too large"}
 	} else if err != nil {
-		return "", no{http.StatusBadRequest, "the body broke off"}
+		return "", "", no{http.StatusBadRequest, "the body broke off"}
 	}
 	id = strings.TrimSpace(string(body))
 	if known.named == (id == "") {
-		return "", no{http.StatusBadRequest, "the body has to hold the id of a backend, or nothing where none is named"}
+		return "", "", no{http.StatusBadRequest, "the body has to hold the id of a backend, or nothing where none is named"}
 	}
 	if conn, ok := r.Context().Value(clientKey{}).(*clientConn); ok {
 		c.conns.state(conn, http.StateActive)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), consoleWait)
 	defer cancel()
-	return id, known.do(ctx, id)
+	word, err = known.do(ctx, id)
+	return id, word, err
 }
 
 // do has the loop carry out f and waits until it has.
@@ -148,35 +152,35 @@
 }
 
 // ready tells whether this process serves: it has a list, what operators have said, and its listeners. Lame duck
-// is no matter here, or no new version could take over from one that is empty.
-func (p *Proxy) ready(context.Context, string) error {
+// is no matter here, or no new version could take over from one that is empty. A yes shows the settings in force.
+func (p *Proxy) ready(context.Context, string) (string, error) {
 	select {
 	case <-p.opened:
 	default:
-		return no{http.StatusServiceUnavailable, "starting"}
+		return "", no{http.StatusServiceUnavailable, "starting"}
 	}
 	select {
 	case <-p.loop.listed:
 	default:
-		return no{http.StatusServiceUnavailable, "no list of backends yet"}
+		return "", no{http.StatusServiceUnavailable, "no list of backends yet"}
 	}
 	if p.front.draining.Load() {
-		return no{http.StatusServiceUnavailable, "ending"}
+		return "", no{http.StatusServiceUnavailable, "ending"}
 	}
-	return nil
+	return yes + " " + p.loop.inForce.Load().word(), nil
 }
 
-func (p *Proxy) detach(ctx context.Context, id string) error {
-	return p.change(ctx, id, func(st *state) { st.detach(id) })
+func (p *Proxy) detach(ctx context.Context, id string) (string, error) {
+	return yes, p.change(ctx, id, func(st *state) { st.detach(id) })
 }
 
-func (p *Proxy) attach(ctx context.Context, id string) error {
-	return p.change(ctx, id, func(st *state) { st.attach(id, time.Now()) })
+func (p *Proxy) attach(ctx context.Context, id string) (string, error) {
+	return yes, p.change(ctx, id, func(st *state) { st.attach(id, time.Now()) })
 }
 
-func (p *Proxy) lameDuck(on bool) func(context.Context, string) error {
-	return func(ctx context.Context, _ string) error {
-		return p.change(ctx, "", func(st *state) { st.LameDuck = on })
+func (p *Proxy) lameDuck(on bool) func(context.Context, string) (string, error) {
+	return func(ctx context.Context, _ string) (string, error) {
+		return yes, p.change(ctx, "", func(st *state) { st.LameDuck = on })
 	}
 }
 
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"fernlanding/internal/settings"
 	"fernlanding/logic"
 )
 
@@ -22,13 +21,15 @@
 	maxHead = 16 << 10 // of a request, before its body
 	maxID   = 128      // bytes of a Request-Id
 
+	noTenant = -1 // the number of one that the settings do not name
+
 	// A client that connects is owed an answer or a close within 3 s: it has this long to send a head, and
 	// this long from its connecting to its first body's end. A later body has as long as a head.
 	headPatience  = 2200 * time.Millisecond
 	firstPatience = 2800 * time.Millisecond
 	idlePatience  = 10 * time.Second       // for the next request on a connection
 	faultLinger   = 500 * time.Millisecond // for what a bad client still sends, so that it can read its error
-	writeLeeway   = 5 * time.Second        // beyond the longest deadline, for the answer to be taken
+	writeLeeway   = 5 * time.Second        // for the answer to be taken
 
 	// After the first call on lame duck health checks are asked within 0.1 s, and connections come for 0.2 s more.
 	duckAfter = 400 * time.Millisecond
@@ -47,10 +48,7 @@
 
 // frontend takes requests from clients and hands them to the loop.
 type frontend struct {
-	site     *settings.Site
 	loop     *loop
-	classes  map[string]int
-	tenants  map[string]int
 	server   *http.Server
 	clients  *clients
 	budget   *budget
@@ -68,16 +66,11 @@
 	emptying sync.WaitGroup // it
 }
 
-func newFrontend(site *settings.Site, l *loop, most int, log *slog.Logger) *frontend {
-	f := &frontend{site: site, loop: l, classes: numbers(site.Classes), tenants: numbers(site.Tenants),
-		clients: newClients(nil, most), budget: &budget{}, log: log, served: make(chan struct{})}
-	longest := int64(0)
-	for _, c := range site.Logic.Classes {
-		longest = max(longest, c.Deadline)
-	}
+func newFrontend(l *loop, most int, log *slog.Logger) *frontend {
+	f := &frontend{loop: l, clients: newClients(nil, most), budget: &budget{}, log: log, served: make(chan struct{})}
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headPatience, IdleTimeout: idlePatience, MaxHeaderBytes: maxHead,
-		WriteTimeout: headPatience + time.Duration(longest)*time.Microsecond + writeLeeway,
+		WriteTimeout: headPatience + writeLeeway, // each answer sets its own when it begins
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, clientKey{}, c)
 		},
@@ -89,14 +82,6 @@
 // clientKey is the context's key for the clientConn that a request came on.
 type clientKey struct{}
 
-func numbers(names []string) map[string]int {
-	m := map[string]int{}
-	for i, n := range names {
-		m[n] = i
-	}
-	return m
-}
-
 // quietLog sends net/http's remarks on broken clients to the debug level.
 func quietLog(l *slog.Logger) *log.Logger { return slog.NewLogLogger(l.Handler(), slog.LevelDebug) }
 
@@ -247,19 +232,20 @@
 			return bad(http.StatusBadRequest, name+" is given twice")
 		}
 	}
-	class, ok := f.classes[r.Header.Get("Request-Class")]
+	now := f.loop.inForce.Load() // one for all of the request, whatever is put in force meanwhile
+	class, ok := now.classes[r.Header.Get("Request-Class")]
 	if !ok {
 		return bad(http.StatusBadRequest, "unknown Request-Class")
 	}
 	part, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if part != f.site.Classes[class] || !strings.HasPrefix(r.RequestURI, "/") {
+	if part != now.site.Classes[class] || !strings.HasPrefix(r.RequestURI, "/") {
 		return bad(http.StatusBadRequest, "the path does not begin with the class")
 	}
 	id := r.Header.Get("Request-Id")
 	if id == "" || len(id) > maxID {
 		return bad(http.StatusBadRequest, "no Request-Id, or a long one")
 	}
-	k, method := f.site.Logic.Classes[class], http.MethodPost
+	k, method := now.logic.Classes[class], http.MethodPost
 	if k.Repeat == logic.Safe {
 		method = http.MethodGet
 	}
@@ -281,7 +267,7 @@
 	case r.ContentLength != 0 && method == http.MethodGet:
 		return bad(http.StatusBadRequest, "a body on a GET")
 	}
-	req := &request{method: method, uri: r.RequestURI, host: r.Host, lease: &lease{of: f.budget}, answer: make(chan answer, 1),
+	req := &request{snapshot: now, method: method, uri: r.RequestURI, host: r.Host, lease: &lease{of: f.budget}, answer: make(chan answer, 1),
 		left: func() bool { return conn != nil && conn.left() }}
 	if err := f.body(w, r, req, conn, came); errors.Is(err, errTooLong) {
 		req.lease.end()
@@ -290,9 +276,9 @@
 		req.lease.end()
 		return bad(http.StatusBadRequest, "the body broke off")
 	}
-	tenant, ok := f.tenants[r.Header.Get("Tenant")]
+	tenant, ok := now.tenants[r.Header.Get("Tenant")]
 	if !ok {
-		tenant = -1 // not told
+		tenant = noTenant
 	}
 	// The time of a request counts from its last byte.
 	req.wait = wait - min(answerMargin, wait/marginPart)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fernlanding/internal/discovery"
@@ -46,6 +47,8 @@
 	left   func() bool // whether its client has left
 	answer chan answer // takes the one final answer without a wait
 
+	snapshot *snapshot // it was read under these settings; the loop's, once it has it
+
 	over    bool
 	sends   int
 	current *attempt // the one that is out
@@ -104,6 +107,8 @@
 	listed chan struct{} // closed when there is a list
 	told   chan struct{} // closed when discovery has said something
 
+	inForce atomic.Pointer[snapshot] // the settings; the loop replaces them, and each request is read under one
+
 	out      map[string]bool     // the backends that operators have taken out
 	reqs     map[string]*request // until answered and no attempt is out
 	timers   timerHeap
@@ -245,6 +250,9 @@
 		r.answer <- answer{status: http.StatusBadRequest}
 		return
 	}
+	if !l.current(r) {
+		return
+	}
 	if l.cutoff > 0 {
 		r.GiveUp = min(r.GiveUp, l.cutoff)
 	}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -34,13 +34,14 @@
 // itself sends a GET or a keyed request again when a kept connection turns out to be dead: an attempt that
 // the module would not know of.
 type backends struct {
-	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
-	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
-	most    int           // open connections, those being opened included
+	dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
+	dialTimeout atomic.Int64 // of the dialer, in nanoseconds
 	staleWithin time.Duration
 
 	mu      sync.Mutex
+	idleFor time.Duration // connections idle for longer are closed, well before the backend does it
+	most    int           // open connections, those being opened included
 	byName  map[string]*backend
 	out     map[string]bool // those that operators have taken out, listed or not
 	open    int
@@ -100,9 +101,28 @@
 func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
 
 func newBackends(dialTimeout, idleClose time.Duration, most int) *backends {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &backends{dialer: d.DialContext, idleFor: idleClose * 3 / 4, trusted: idleClose * 3 / 4, most: most,
-		staleWithin: staleWithin, byName: map[string]*backend{}, out: map[string]bool{}}
+	p := &backends{most: most, staleWithin: staleWithin, byName: map[string]*backend{}, out: map[string]bool{}}
+	p.dialer = p.dialInTime
+	p.configure(dialTimeout, idleClose)
+	return p
+}
+
+// configure takes the figures of the settings. Connections stay; dials that have begun keep their time.
+func (p *backends) configure(dialTimeout, idleClose time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialTimeout.Store(int64(dialTimeout))
+	before := p.idleFor
+	p.idleFor = idleClose * 3 / 4
+	if p.trusted == before { // no backend has closed one early
+		p.trusted = p.idleFor
+	}
+	p.trusted = min(p.trusted, p.idleFor)
+}
+
+func (p *backends) dialInTime(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Duration(p.dialTimeout.Load()), KeepAlive: -1}
+	return d.DialContext(ctx, network, addr)
 }
 
 // apply takes a list or its changes. Connections that stand idle to a backend which has restarted, moved,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -44,6 +43,8 @@
 	Seed      uint64
 	Sockets   int             // descriptors that the process may hold
 	MemoryMB  float64         // that it may hold; 0 if it is not told
+	Cores     float64         // that it may use; 0 if it is not told
+	Version   string          // of the settings and limits, as operators are shown it
 	Known     *discovery.List // the list as last known; may be nil
 	Site      *settings.Site
 	Log       *slog.Logger
@@ -59,19 +60,27 @@
 	followed int64         // the version of the state that is carried out; changed under the state's lock
 	opened   chan struct{} // closed when all listeners are open
 	renews   chan string   // addresses of discovery that new configurations name
+
+	reloading sync.Mutex // held by Reload
+
+	limits        sync.Mutex // held while limits are carried out
+	alone         bool       // no other process of this proxy lives
+	memoryLimited bool       // the runtime was told a limit
 }
 
 // New opens the listeners, unless another process of this proxy is at work: then Run does when it can serve. Clients
 // are served from Run on.
 func New(cfg Config) (*Proxy, error) {
-	bal, err := logic.New(cfg.Site.Logic, cfg.Seed)
+	zones := discovery.NewZones(cfg.Site.Zones)
+	first, err := newSnapshot(cfg, zones)
 	if err != nil {
 		return nil, err
 	}
-	forClients, forBackends := divide(cfg.Sockets)
-	if forClients < leastEach {
-		return nil, fmt.Errorf("%d sockets are too few", cfg.Sockets)
+	bal, err := logic.New(first.logic, cfg.Seed)
+	if err != nil {
+		return nil, err
 	}
+	forClients, forBackends := divide(cfg.Sockets)
 	dir := cfg.TempDir
 	if cfg.Console == "" { // no operator can say anything
 		dir = ""
@@ -82,9 +91,10 @@
 		sh = &shared{log: cfg.Log}
 	}
 	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends),
-		discovery.NewZones(cfg.Site.Zones), cfg.Log)
+		zones, cfg.Log)
+	l.inForce.Store(first)
 	p := &Proxy{cfg: cfg, loop: l, shared: sh, renews: make(chan string), opened: make(chan struct{}),
-		front: newFrontend(cfg.Site, l, forClients, cfg.Log)}
+		front: newFrontend(l, forClients, cfg.Log)}
 	if cfg.Console != "" {
 		p.console = newConsole(p, cfg.Log)
 	}
@@ -119,21 +129,6 @@
 	return sockets - ownSockets - forBackends, forBackends
 }
 
-// limit shares descriptors and memory with another process of this proxy while one lives: both count together.
-func (p *Proxy) limit(alone bool) {
-	sockets, memory := p.cfg.Sockets, p.cfg.MemoryMB
-	if !alone {
-		sockets, memory = sockets/2, memory/2
-	}
-	forClients, forBackends := divide(sockets)
-	p.front.clients.limit(max(forClients, leastEach))
-	p.loop.pool.limit(forBackends)
-	p.front.budget.limit(memory)
-	if memory > 0 {
-		debug.SetMemoryLimit(int64(memory * memoryPart * (1 << 20)))
-	}
-}
-
 // open opens the listeners. Any process of this proxy may listen at the clients' address; the newest gets the
 // connections.
 func (p *Proxy) open() error {
@@ -172,6 +167,7 @@
 	defer parts.Wait()
 	defer stop()
 	p.front.lameDuck(p.shared.now.LameDuck)
+	p.cfg.Log.Info("settings in force", "version", p.loop.inForce.Load().version, "discovery", p.cfg.Discovery)
 	parts.Go(func() { p.loop.run(inner) })
 	parts.Go(func() { p.watch(inner) })
 	if p.shared.lock != nil {
@@ -203,15 +199,12 @@
 		p.cfg.Log.Error("no connections are taken any more", "error", failed)
 	case <-ctx.Done():
 	}
-	longest := time.Duration(0)
-	for _, c := range p.cfg.Site.Logic.Classes {
-		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
-	}
-	told, window := time.Now(), min(longest, killAfter)+killLeeway
-	cutoff := told.Add(window)
+	told := time.Now()
 	p.front.succeeded.Store(p.shared.succeeded())
 	p.front.terminate()
 	p.shared.shut()
+	window := min(p.longest(), killAfter) + killLeeway
+	cutoff := told.Add(window)
 	lastCall := int64(0)
 	if p.front.succeeded.Load() {
 		lastCall = p.loop.clock.at(told.Add(takenLate))
@@ -247,8 +240,19 @@
 	return true
 }
 
-// Renew takes the address of discovery that a new configuration names. It may be called while Run does its work.
-func (p *Proxy) Renew(address string) {
+// longest is the loop's word on the longest deadline, or what the settings say where the loop is too busy for one.
+func (p *Proxy) longest() time.Duration {
+	ctx, cancel := context.WithTimeout(context.Background(), drainStep)
+	defer cancel()
+	word := make(chan time.Duration, 1)
+	if err := p.loop.do(ctx, func() { word <- p.loop.longest() }); err != nil {
+		return p.loop.inForce.Load().longest
+	}
+	return <-word
+}
+
+// renew tells the watch the address of discovery that a new configuration names.
+func (p *Proxy) renew(address string) {
 	select {
 	case p.renews <- address:
 	case <-p.loop.done:
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -723,22 +723,30 @@
 			t.Errorf("asked %q, want %q", got, want)
 		}
 	}
+	rename := func(addr string) error {
+		cfg := p.cfg
+		cfg.Discovery = addr
+		return p.Reload(cfg)
+	}
 	query(ds[0], "")
 	ds[0].say <- listText(50, true, listed("a", a.addr, discovery.Serving))
 	query(ds[0], "from=50&hold_ms=2000")
 	ask("1", a)
-	p.Renew(ds[0].addr) // the same again changes nothing
-	p.Renew(ds[1].addr)
+	for _, d := range ds { // the same again changes nothing
+		if err := rename(d.addr); err != nil {
+			t.Error(err)
+		}
+	}
 	query(ds[1], "")
 	ask("2", a)
 	ds[1].say <- listText(3, true, listed("b", b.addr, discovery.Serving))
 	query(ds[1], "from=3&hold_ms=2000")
 	ask("3", b)
-	for range 5 { // several in a row
-		p.Renew(ds[0].addr)
-		p.Renew(ds[1].addr)
+	for i := range 11 { // several in a row
+		if err := rename(ds[i%2].addr); err != nil {
+			t.Error(err)
+		}
 	}
-	p.Renew(ds[0].addr)
 	for range cap(ds[0].say) { // some may go to calls that have ended
 		ds[0].say <- listText(1, true, listed("a", a.addr, discovery.Serving))
 	}
@@ -750,11 +758,13 @@
 	})
 	ask("4", a)
 	p.stop()
-	p.Renew(ds[1].addr) // while it ends
+	_ = rename(ds[1].addr) // while it ends
 	if err := wait(t, "end of Run", p.done); err != nil {
 		t.Error(err)
 	}
-	p.Renew(ds[0].addr) // and after
+	if err := rename(ds[0].addr); err == nil { // and after
+		t.Error("a proxy that has ended took a configuration")
+	}
 }
 
 // holds serves requests, those whose id begins with h only after the release.
--- /dev/null
+++ b/internal/proxy/reload_test.go
@@ -0,0 +1,387 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/settings"
+	"fernlanding/logic"
+)
+
+// changed is the configuration of a running proxy with pairs of texts of the test settings replaced.
+func changed(t *testing.T, p *running, version string, replace ...string) Config {
+	t.Helper()
+	for i := 0; i < len(replace); i += 2 {
+		if !strings.Contains(siteText, replace[i]) {
+			t.Fatalf("the settings lack %s", replace[i])
+		}
+	}
+	site, err := settings.Decode([]byte(strings.NewReplacer(replace...).Replace(siteText)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := p.cfg
+	cfg.Site, cfg.Version = site, version
+	return cfg
+}
+
+func (p *running) mustReload(t *testing.T, cfg Config) {
+	t.Helper()
+	if err := p.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const (
+	lookProfile = `{"give_up_us":8000000,"name":"look","objective_us":4000000,"repeat":"idempotent","worth":1},`
+	scanProfile = `{"give_up_us":9000000,"name":"scan","objective_us":4000000,"repeat":"idempotent","worth":2},`
+	postProfile = `{"give_up_us":8000000,"name":"post","objective_us":4000000,"repeat":"at_most_once","worth":1}`
+)
+
+func scan(id string) string { return strings.ReplaceAll(look(id, 4000), "look", "scan") }
+
+// status sends a request on a connection of its own and returns the answer's status.
+func (p *running) status(t *testing.T, text string) int {
+	t.Helper()
+	c := connect(t, p)
+	defer c.Close()
+	c.send(t, text)
+	resp, _ := c.answer(t)
+	return resp.StatusCode
+}
+
+func TestAReloadPutsTheSettingsInForce(t *testing.T) {
+	left := make(chan int, 10)
+	p, _ := serving(t, func(w io.Writer, r *http.Request, _ int) bool {
+		ms, _ := strconv.Atoi(r.Header.Get("Request-Timeout-Ms"))
+		left <- ms
+		_, _ = io.WriteString(w, served)
+		return true
+	})
+	long := strings.Replace(shortPost("p"), "Timeout-Ms: 4000", "Timeout-Ms: 60000", 1)
+	if got := p.status(t, scan("1")); got != 400 {
+		t.Errorf("a class that is not known yet: %d", got)
+	}
+	if got := p.status(t, long); got != 200 {
+		t.Errorf("before: %d", got)
+	}
+	if ms := wait(t, "request", left); ms > 4000 {
+		t.Errorf("a backend was given %d ms before", ms)
+	}
+
+	p.mustReload(t, changed(t, p, "", lookProfile, scanProfile,
+		postProfile, strings.NewReplacer("8000000", "50000000", "4000000", "40000000").Replace(postProfile),
+		`"dial_timeout_us":5000000`, `"dial_timeout_us":70000`, `"idle_close_us":30000000`, `"idle_close_us":4000000`))
+	if got := p.status(t, scan("2")); got != 200 {
+		t.Errorf("a new class: %d", got)
+	}
+	wait(t, "request", left)
+	if got := p.status(t, look("3", 4000)); got != 400 {
+		t.Errorf("a class that is gone: %d", got)
+	}
+	if got := p.status(t, long); got != 200 {
+		t.Errorf("after: %d", got)
+	}
+	if ms := wait(t, "request", left); ms < 20_000 || ms > 40_000 {
+		t.Errorf("a backend was given %d ms after", ms)
+	}
+	pool := p.loop.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if d := time.Duration(pool.dialTimeout.Load()); d != 70*time.Millisecond || pool.idleFor != 3*time.Second || pool.trusted > pool.idleFor {
+		t.Errorf("dials for %v, idle for %v, trusted for %v", d, pool.idleFor, pool.trusted)
+	}
+}
+
+// Settings come and go under load: every request is served, and no connection ends on either side.
+func TestReloadsUnderLoadLoseNothing(t *testing.T) {
+	const clients, reloads = 3, 60 // more at once than a class's count has learned to bear would be refused
+	b := startBackend(t, says(served, true))
+	// Each request may need a connection of its own, as one rests after its use.
+	p := startProxy(t, startDiscovery(t).addr, 4000, listText(1, true, listed("a", b.addr, discovery.Serving)))
+	configs := []Config{
+		changed(t, p, "b", lookProfile, scanProfile+lookProfile, `"siblings":1`, `"siblings":3`,
+			`"tenants":[`, `"tenants":[{"name":"other","portion":0.1,"quota_per_s":5},`,
+			`"failure_domains":["a"]`, `"failure_domains":["b","a"]`, `"my_zone":0`, `"my_zone":1`),
+		changed(t, p, "a"),
+	}
+	answers, over := make(chan int), make(chan struct{})
+	var all sync.WaitGroup
+	for i := range clients {
+		c := connect(t, p)
+		all.Go(func() {
+			for n := 0; ; n++ {
+				id := fmt.Sprintf("%d-%d", i, n)
+				c.send(t, shortPost(id)) // a safe one that hangs for a moment would be given up, and sent on another connection
+				resp, err := http.ReadResponse(c.r, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+					t.Errorf("%s: %v, close %v", id, err, resp.Close)
+				}
+				select {
+				case answers <- resp.StatusCode:
+				case <-over:
+					return
+				}
+			}
+		})
+	}
+	for i := range reloads {
+		p.mustReload(t, configs[i%2])
+		for range clients {
+			if got := wait(t, "answer", answers); got != 200 {
+				t.Errorf("reload %d: got %d", i, got)
+			}
+		}
+	}
+	close(over)
+	all.Wait()
+	if n := p.front.clients.count(); n != clients {
+		t.Errorf("%d connections of %d clients", n, clients)
+	}
+	if n := len(b.closed); n > 0 {
+		t.Errorf("%d connections to the backend have ended", n)
+	}
+	n := b.conns.Load()
+	rested(p.loop.pool)
+	p.mustReload(t, configs[0])
+	if got := p.status(t, shortPost("last")); got != 200 || b.conns.Load() != n {
+		t.Errorf("got %d on one of %d connections, of %d before the reload", got, b.conns.Load(), n)
+	}
+}
+
+// What is wrong anywhere in a configuration leaves all of the old one in force.
+func TestARefusedReloadChangesNothing(t *testing.T) {
+	p, _, _ := operated(t)
+	p.mustReload(t, changed(t, p, "first"))
+	before, most := p.loop.inForce.Load(), p.most()
+	for want, spoil := range map[string]func(*Config){
+		"name":             func(c *Config) { c.Name = "other" },
+		"listen":           func(c *Config) { c.Listen = "127.0.0.1:1" },
+		"console":          func(c *Config) { c.Console = "" },
+		"discovery":        func(c *Config) { c.Discovery = "nowhere" },
+		"too few":          func(c *Config) { c.Sockets = 40 },
+		"dial_timeout":     func(c *Config) { c.Site.DialTimeout = 0 },
+		"profiles[2].name": func(c *Config) { c.Site.Classes[2] = c.Site.Classes[1] },
+		"Stage":            func(c *Config) { c.Site.Logic.Stage = 1 },
+		"Subscribe":        func(c *Config) { c.Site.Logic.Subscribe, c.Site.Logic.AskEvery = true, 1 },
+		"Zone":             func(c *Config) { c.Site.Logic.Zone = 5 },
+		"Deadline":         func(c *Config) { c.Site.Logic.Classes[0].Deadline = 0 },
+		"Tenants":          func(c *Config) { c.Site.Logic.Tenants[0].Quota = -1 },
+	} {
+		cfg := changed(t, p, "bad", lookProfile, scanProfile+lookProfile)
+		cfg.Sockets = 800
+		spoil(&cfg)
+		if err := p.Reload(cfg); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v", want, err)
+		}
+		if p.loop.inForce.Load() != before || p.most() != most {
+			t.Errorf("%s: it was taken in part", want)
+		}
+	}
+	if got := p.status(t, scan("1")); got != 400 {
+		t.Errorf("a class of refused settings: %d", got)
+	}
+	if got := p.status(t, look("2", 4000)); got != 200 {
+		t.Errorf("a class of the old settings: %d", got)
+	}
+}
+
+// Whether a request may be sent again was decided when it came.
+func TestAnAttemptKeepsItsSettingsOverAReload(t *testing.T) {
+	for name, c := range map[string]struct {
+		request     string
+		old, reload string
+		want        int
+		sends       int32
+	}{
+		"an unsafe one is not sent again": {shortPost("1"), postProfile,
+			strings.Replace(postProfile, `"at_most_once"`, `"deduplicated","dedup_scope":"all","dedup_window_us":8000000`, 1), 502, 1},
+		"a keyed one has its window": {rate("1"), `"dedup_window_us":9000000`, `"dedup_window_us":1`, 200, 2},
+		"so it has with its class gone": {rate("1"), `{"dedup_scope":"cell","dedup_window_us":9000000,"give_up_us":8000000,"name":"rate",` +
+			`"objective_us":1000000,"late_share":0.5,"repeat":"deduplicated","worth":1},`, "", 200, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			came, release := make(chan struct{}, 1), make(chan struct{})
+			p, b := serving(t, func(w io.Writer, _ *http.Request, n int) bool {
+				if n == 1 {
+					came <- struct{}{}
+					<-release
+					return false // the connection ends without an answer
+				}
+				_, _ = io.WriteString(w, served)
+				return true
+			})
+			cl := connect(t, p)
+			cl.send(t, c.request)
+			wait(t, "request at the backend", came)
+			p.mustReload(t, changed(t, p, "", c.old, c.reload))
+			close(release)
+			if resp, _ := cl.answer(t); resp.StatusCode != c.want || b.requests.Load() != c.sends {
+				t.Errorf("got %s after %d sends", resp.Status, b.requests.Load())
+			}
+		})
+	}
+}
+
+// A request that was read under the old settings, and reaches the loop after the new ones, is taken as what it is, or
+// refused where its class is gone or repeats otherwise. Nothing of it is sent then.
+func TestARequestThatCrossesAReload(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, reload string
+		want        int
+	}{
+		"its class has moved":    {lookProfile, scanProfile + lookProfile, 200},
+		"its tenant has moved":   {`"tenants":[`, `"tenants":[{"name":"other","portion":0,"quota_per_s":0},`, 200},
+		"its tenant has gone":    {`"acme"`, `"other"`, 200},
+		"its class has gone":     {lookProfile, scanProfile, 503},
+		"its class is unsafe":    {lookProfile, strings.Replace(lookProfile, "idempotent", "at_most_once", 1), 503},
+		"nothing of it has gone": {`"siblings":1`, `"siblings":2`, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, b := serving(t, says(served, true))
+			ids := make(chan logic.Request, 1)
+			release := make(chan struct{})
+			p.loop.post(func() { <-release })
+			waitUntil(t, func() bool { return len(p.loop.events) == 0 }) // the loop is held
+			reloaded := make(chan error, 1)
+			cfg := changed(t, p, "", c.old, c.reload)
+			go func() { reloaded <- p.Reload(cfg) }()
+			waitUntil(t, func() bool { return len(p.loop.events) == 1 })
+			cl := connect(t, p)
+			cl.send(t, look("1", 4000))
+			waitUntil(t, func() bool { return len(p.loop.events) == 2 })
+			p.loop.post(func() {
+				for _, r := range p.loop.reqs {
+					ids <- r.Request
+				}
+				close(ids)
+			})
+			close(release)
+			if err := wait(t, "end of the reload", reloaded); err != nil {
+				t.Fatal(err)
+			}
+			resp, _ := cl.answer(t)
+			if sent := b.requests.Load(); resp.StatusCode != c.want || (sent > 0) != (c.want == 200) {
+				t.Errorf("got %s after %d sends", resp.Status, sent)
+			}
+			site := p.loop.inForce.Load().site
+			if r, ok := <-ids; ok && site.Classes[r.Class] != "look" {
+				t.Errorf("it was taken for class %q", site.Classes[r.Class])
+			} else if ok && r.Tenant != noTenant && site.Tenants[r.Tenant] != "acme" {
+				t.Errorf("it was taken for tenant %q", site.Tenants[r.Tenant])
+			}
+		})
+	}
+}
+
+// Operators see which settings are in force, in one line.
+func TestReadyShowsTheSettingsInForce(t *testing.T) {
+	p, _, _ := operated(t)
+	ask := func() string {
+		t.Helper()
+		c := dial(t, p.ConsoleAddr())
+		c.send(t, "GET /_ready HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, body := c.answer(t)
+		if resp.StatusCode != 200 || strings.Count(body, "\n") != 1 || !strings.HasSuffix(body, "\n") {
+			t.Errorf("got %s %q", resp.Status, body)
+		}
+		return body
+	}
+	p.mustReload(t, changed(t, p, "0123456789ab"))
+	at := p.loop.inForce.Load().taken.UTC().Format("2006-01-02T15:04:05.000Z")
+	if got := ask(); got != "ok settings=0123456789ab taken="+at+"\n" {
+		t.Errorf("got %q", got)
+	}
+	p.mustReload(t, changed(t, p, "ba9876543210"))
+	bad := changed(t, p, "bad")
+	bad.Discovery = ""
+	if err := p.Reload(bad); err == nil {
+		t.Error("no discovery is no error")
+	}
+	if got := ask(); !strings.Contains(got, " settings=ba9876543210 ") {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Requests that came under longer deadlines keep their time when SIGTERM comes.
+func TestTheEndWaitsForTheLongestDeadlineInFlight(t *testing.T) {
+	came := make(chan struct{}, 1)
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	p, _ := serving(t, func(io.Writer, *http.Request, int) bool {
+		came <- struct{}{}
+		<-over
+		return false
+	})
+	cl := connect(t, p)
+	cl.send(t, look("1", 4000))
+	wait(t, "request at the backend", came)
+	p.mustReload(t, changed(t, p, "", "8000000", "90000", "4000000", "80000", "1000000,", "80000,"))
+	if got := p.longest(); got < 3900*time.Millisecond || got > 4*time.Second {
+		t.Errorf("with a request out: %v", got)
+	}
+	cl.Close()
+	waitUntil(t, func() bool { return p.longest() == 90*time.Millisecond })
+}
+
+// Descriptors and memory are shared out anew at once.
+func TestAReloadTakesTheLimits(t *testing.T) {
+	p, _ := serving(t, says(served, true))
+	cfg := changed(t, p, "")
+	cfg.Sockets, cfg.MemoryMB = 500, 100
+	p.mustReload(t, cfg)
+	forClients, forBackends := divide(500)
+	pool := p.loop.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if p.most() != forClients || pool.most != forBackends || p.front.budget.most != 100<<20/heldPart {
+		t.Errorf("%d for clients, %d for backends, %d bytes for bodies", p.most(), pool.most, p.front.budget.most)
+	}
+	t.Cleanup(func() { // the runtime's limit holds for all tests
+		cfg.MemoryMB = 0
+		p.mustReload(t, cfg)
+	})
+}
+
+// Zones keep their numbers whatever the order in which settings name them, and servers of a zone that is named only later
+// are at home there.
+func TestZonesKeepTheirNumbers(t *testing.T) {
+	zones := discovery.NewZones([]string{"a", "b"})
+	site, err := settings.Decode([]byte(siteText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	number := func(mine int, names ...string) int {
+		t.Helper()
+		site.Zones, site.Logic.Zones, site.Logic.Zone = names, len(names), mine
+		s, err := newSnapshot(Config{Sockets: 200, Site: site}, zones)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := logic.New(s.logic, 1); err != nil {
+			t.Error(err)
+		}
+		return s.logic.Zone
+	}
+	if a, b := number(0, "a", "b"), number(1, "a", "b"); a != 0 || b != 1 {
+		t.Errorf("a is %d, b is %d", a, b)
+	}
+	if got := number(0, "b", "a"); got != 1 {
+		t.Errorf("b is now %d", got)
+	}
+	server := zones.Servers([]discovery.Endpoint{{Name: "s", Zone: "c"}})[0]
+	if got := number(2, "b", "a", "c"); got != server.Zone {
+		t.Errorf("c is %d, its servers are in %d", got, server.Zone)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,9 @@
 package settings
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +14,8 @@
 	"fernlanding/logic"
 )
 
+const versionDigits = 12
+
 // Site is what the settings object says: the module's part and the names and figures of the sockets.
 type Site struct {
 	Logic   logic.Settings
@@ -92,6 +97,32 @@
 	return site, nil
 }
 
+// Version names limits and settings by their content: the beginning of a hash of both as one JSON object, with its keys
+// sorted and no white space. Limits may be empty.
+func Version(limits, settings json.RawMessage) (string, error) {
+	parts := map[string]any{}
+	for key, data := range map[string]json.RawMessage{"limits": limits, "settings": settings} {
+		if len(data) == 0 {
+			continue
+		}
+		var value any
+		d := json.NewDecoder(bytes.NewReader(data))
+		d.UseNumber()
+		if err := d.Decode(&value); err != nil {
+			return "", err
+		}
+		parts[key] = value
+	}
+	var canonical bytes.Buffer
+	e := json.NewEncoder(&canonical)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(parts); err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(bytes.TrimSuffix(canonical.Bytes(), []byte("\n")))
+	return hex.EncodeToString(sum[:])[:versionDigits], nil
+}
+
 // CheckSockets tells what a proxy on real sockets lacks: names to know classes and tenants by, and the
 // figures of its connections.
 func (s *Site) CheckSockets() error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -68,3 +68,28 @@
 		t.Errorf("got %+v", k)
 	}
 }
+
+// The expected value is what docs/oncall.md has operators compute. Order and white space do not matter, values do.
+func TestTheVersionNamesTheContent(t *testing.T) {
+	const want = "d51388b5c44b"
+	limits := `{"sockets": 512,"memory_mb":192,  "cores":1.0}`
+	for _, c := range []struct {
+		limits, settings string
+		same             bool
+	}{
+		{limits, object1, true},
+		{`{"cores":1.0,"memory_mb":192,"sockets":512}`, " " + object1 + "\n", true},
+		{`{"cores":1.0,"memory_mb":192,"sockets":513}`, object1, false},
+		{"", object1, false},
+		{limits, strings.Replace(object1, "500000", "500001", 1), false},
+		{limits, strings.Replace(object1, `"unheard_of":{"x":[1]}`, `"unheard_of":{"x":[2]}`, 1), false},
+	} {
+		got, err := Version([]byte(c.limits), []byte(c.settings))
+		if err != nil || len(got) != versionDigits || (got == want) != c.same {
+			t.Errorf("%s %s: got %s, %v", c.limits, c.settings, got, err)
+		}
+	}
+	if _, err := Version(nil, []byte("{")); err == nil {
+		t.Error("half an object has a version")
+	}
+}
