Add the scale tool's command, its limits, process starts, tables and JSON results

cmd/scale runs one experiment of internal/scale, within half of the machine's memory, 300 processes and a time that is always stated, and leaves no process behind: also after a signal, a panic, a kill, or an experiment that never returns. internal/scale starts real proxies (StartProxy), reads their CPU time in nanoseconds, memory and moved bytes from the kernel, and keeps results. No experiment is listed yet.

--- /dev/null
+++ b/cmd/scale/experiments.go
@@ -0,0 +1,6 @@
+package main
+
+import "fernlanding/internal/scale"
+
+// experiments are all that the tool can run, in the order in which it lists them.
+var experiments = []scale.Experiment{}
--- /dev/null
+++ b/cmd/scale/progress.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+)
+
+// progress shows where a long run is: one line that is written over on a terminal, a line each elsewhere.
+type progress struct {
+	mu       sync.Mutex
+	out      io.Writer
+	terminal bool
+	started  time.Time
+}
+
+const eraseLine = "\r\033[K"
+
+func newProgress(out io.Writer, started time.Time) *progress {
+	return &progress{out: out, terminal: isTerminal(out), started: started}
+}
+
+func isTerminal(out io.Writer) bool {
+	file, ok := out.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// show shows one line. An error of writing it is no reason to end a run.
+func (p *progress) show(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	line := fmt.Sprintf("[%4.0fs] ", time.Since(p.started).Seconds()) + fmt.Sprintf(format, args...)
+	if p.terminal {
+		fmt.Fprint(p.out, eraseLine+line)
+		return
+	}
+	fmt.Fprintln(p.out, line)
+}
+
+// clear takes the line away.
+func (p *progress) clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.terminal {
+		fmt.Fprint(p.out, eraseLine)
+	}
+}
--- /dev/null
+++ b/cmd/scale/run.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"fernlanding/internal/scale"
+)
+
+const (
+	defaultTimeout = 10 * time.Minute
+	defaultFolder  = "results"
+	endPatience    = 10 * time.Second
+)
+
+type runCommand struct {
+	Experiment string        `arg:"" help:"Name of the experiment; see the list command."`
+	Seed       uint64        `default:"1" help:"For every random draw."`
+	Small      bool          `help:"A small and short form of the experiment, to try it."`
+	Out        string        `default:"${results}" help:"Folder that takes the result as a JSON file."`
+	Proxy      string        `placeholder:"FILE" help:"Program of the real proxy (default: ${program}, here or at the top of the repository)."`
+	Timeout    time.Duration `default:"${timeout}" help:"The run ends after this, whatever it has."`
+	CPUs       []int         `name:"cpus" placeholder:"N,..." help:"Cores for the tool and for what it starts (default: those that it may use)."`
+	MemoryMB   int64         `name:"memory-mb" placeholder:"MB" help:"Memory of the whole run at most; never more than half of the machine's."`
+}
+
+// Run runs one experiment, shows its result and keeps it.
+func (c runCommand) Run(a *application) error {
+	experiment, err := a.find(c.Experiment)
+	if err != nil {
+		return err
+	}
+	env, err := c.environment(a, experiment)
+	if err != nil {
+		return err
+	}
+	if env.TempDir, err = os.MkdirTemp("", "scale-"); err != nil {
+		return err
+	}
+	defer os.RemoveAll(env.TempDir)
+	started := time.Now()
+	progress := newProgress(a.errors, started)
+	env.Progress = progress.show
+	result, err := c.perform(experiment, env, a.endPatience)
+	progress.clear()
+	if err != nil {
+		return fmt.Errorf("%s: %w", experiment.Name, err)
+	}
+	result.Experiment, result.Started, result.Took = experiment.Name, started, time.Since(started)
+	result.Seed, result.Small, result.Commit = c.Seed, c.Small, sourceOf(env.ProxyProgram, result)
+	result.Machine = machine(env.Cores)
+	return c.keep(a, result)
+}
+
+// environment checks the flags and makes what the experiment is given, but for its folder and progress.
+func (c runCommand) environment(a *application, experiment scale.Experiment) (scale.Env, error) {
+	env := scale.Env{Seed: c.Seed, Small: c.Small, Budget: scale.NewBudget(),
+		Log: slog.New(slog.NewTextHandler(a.errors, &slog.HandlerOptions{Level: slog.LevelWarn}))}
+	if c.Timeout <= 0 {
+		return env, fmt.Errorf("--timeout %v: a run has to have a time", c.Timeout)
+	}
+	if c.MemoryMB < 0 {
+		return env, fmt.Errorf("--memory-mb %d: negative", c.MemoryMB)
+	}
+	if c.MemoryMB > 0 {
+		env.Budget.LowerMemory(c.MemoryMB << 20)
+	}
+	var err error
+	if env.ProxyProgram, err = findProxy(c.Proxy); err != nil {
+		return env, err
+	}
+	if experiment.NeedsProxy && env.ProxyProgram == "" {
+		return env, scale.ErrNoProxy
+	}
+	env.Cores, err = c.cores()
+	return env, err
+}
+
+// cores gives the cores of the run, and keeps the tool on them.
+func (c runCommand) cores() ([]int, error) {
+	allowed, err := scale.AllowedCores()
+	if err != nil || len(c.CPUs) == 0 {
+		return allowed, err
+	}
+	for i, core := range c.CPUs {
+		if !slices.Contains(allowed, core) {
+			return nil, fmt.Errorf("--cpus: core %d is not among those that the tool may use, %v", core, allowed)
+		}
+		if slices.Contains(c.CPUs[:i], core) {
+			return nil, fmt.Errorf("--cpus: core %d is named twice", core)
+		}
+	}
+	return c.CPUs, scale.RunOn(c.CPUs)
+}
+
+// outcome is what an experiment has returned.
+type outcome struct {
+	result scale.Result
+	err    error
+}
+
+// perform runs the experiment within the limits of a run. Whatever it started has ended when perform returns.
+func (c runCommand) perform(experiment scale.Experiment, env scale.Env, patience time.Duration) (scale.Result, error) {
+	ctx, stopSignals := cancelOnSignal(context.Background())
+	defer stopSignals()
+	ctx, cancelTimeout := context.WithTimeoutCause(ctx, c.Timeout,
+		&scale.LimitError{What: fmt.Sprintf("a time of %v (--timeout)", c.Timeout)})
+	defer cancelTimeout()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer env.Budget.StopAll()
+	go func() {
+		if err := env.Budget.WatchMemory(ctx); err != nil {
+			cancel(err)
+		}
+	}()
+	returned := make(chan outcome, 1)
+	go func() {
+		result, err := experiment.Run(ctx, env)
+		returned <- outcome{result, err}
+	}()
+	select {
+	case o := <-returned:
+		return o.result, ended(ctx, o.err)
+	case <-ctx.Done():
+	}
+	select {
+	case <-returned: // a result that came after the end is not one of a whole run
+		return scale.Result{}, context.Cause(ctx)
+	case <-time.After(patience):
+		return scale.Result{}, fmt.Errorf("%w; the experiment did not end by itself", context.Cause(ctx))
+	}
+}
+
+// ended gives the reason of a run's end in place of the errors that follow from it.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// cancelOnSignal returns a context that ends with SIGINT, SIGTERM or SIGHUP.
+func cancelOnSignal(parent context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case s := <-signals:
+			cancel(errors.New("ended by a signal: " + s.String()))
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		cancel(nil)
+	}
+}
+
+// keep shows a result and writes it to the folder.
+func (c runCommand) keep(a *application, result scale.Result) error {
+	if err := scale.WriteTable(a.out, result); err != nil {
+		return err
+	}
+	path, err := result.Write(c.Out)
+	if err != nil {
+		return fmt.Errorf("keep the result: %w", err)
+	}
+	_, err = fmt.Fprintln(a.out, "kept in "+path)
+	return err
+}
+
+func machine(allowed []int) scale.Machine {
+	return scale.Machine{System: runtime.GOOS + "/" + runtime.GOARCH, Go: runtime.Version(), Cores: runtime.NumCPU(),
+		Allowed: allowed}
+}
--- /dev/null
+++ b/cmd/scale/source.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"debug/buildinfo"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strings"
+
+	"fernlanding/internal/scale"
+)
+
+const (
+	defaultProgram = "bin/fernlanding"
+	changedSuffix  = "+changes"
+)
+
+// findProxy gives the path of the real proxy's program: the one that was asked for, or the default in the working
+// folder or at the top of the repository. It is empty if none was asked for and there is none.
+func findProxy(asked string) (string, error) {
+	if asked != "" {
+		if !isProgram(asked) {
+			return "", fmt.Errorf("--proxy %s: no such program; build it with: %s", asked, scale.BuildCommand)
+		}
+		return filepath.Abs(asked)
+	}
+	folder, err := os.Getwd()
+	if err != nil {
+		return "", err
+	}
+	for {
+		if path := filepath.Join(folder, defaultProgram); isProgram(path) {
+			return path, nil
+		}
+		parent := filepath.Dir(folder)
+		if _, err := os.Stat(filepath.Join(folder, "go.mod")); err == nil || parent == folder {
+			return "", nil
+		}
+		folder = parent
+	}
+}
+
+func isProgram(path string) bool {
+	info, err := os.Stat(path)
+	const anyone = 0o111
+	return err == nil && info.Mode().IsRegular() && info.Mode()&anyone != 0
+}
+
+// sourceOf names the commit of what was measured: of the proxy's program if a real proxy was, else of this tool. Where
+// the program bears no stamp, as after go run or in a linked worktree, it is the one of the working folder.
+func sourceOf(program string, result scale.Result) string {
+	var info *debug.BuildInfo
+	isReal := func(f scale.Figure) bool { return f.Source == scale.RealProxy }
+	if program != "" && slices.ContainsFunc(result.Figures, isReal) {
+		info, _ = buildinfo.ReadFile(program) // nil for what is no program of Go
+	} else {
+		info, _ = debug.ReadBuildInfo()
+	}
+	if info != nil {
+		if commit := stampedCommit(info); commit != "" {
+			return commit
+		}
+	}
+	return workingCommit()
+}
+
+// stampedCommit reads the commit that the go command has put in a program; empty if there is none.
+func stampedCommit(info *debug.BuildInfo) string {
+	commit, changed := "", ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			commit = setting.Value
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			changed = changedSuffix
+		}
+	}
+	if commit == "" {
+		return ""
+	}
+	return commit + changed
+}
+
+// workingCommit asks git for the commit of the working folder.
+func workingCommit() string {
+	commit, err := exec.Command("git", "rev-parse", "HEAD").Output()
+	if err != nil { // no repository, or no git
+		return ""
+	}
+	changes, err := exec.Command("git", "status", "--porcelain").Output()
+	if err != nil || len(changes) > 0 {
+		return strings.TrimSpace(string(commit)) + changedSuffix
+	}
+	return strings.TrimSpace(string(commit))
+}
--- /dev/null
+++ b/internal/scale/affinity.go
@@ -0,0 +1,95 @@
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"syscall"
+	"unsafe"
+)
+
+const maxCores = 1024
+
+// coreMask is the kernel's set of cores.
+type coreMask [maxCores / 64]uint64
+
+func maskOf(cores []int) (coreMask, error) {
+	var mask coreMask
+	for _, core := range cores {
+		if core < 0 || core >= maxCores {
+			return mask, fmt.Errorf("core %d: no such core", core)
+		}
+		mask[core/64] |= 1 << (core % 64)
+	}
+	return mask, nil
+}
+
+func (m coreMask) cores() []int {
+	var list []int
+	for core := range maxCores {
+		if m[core/64]&(1<<(core%64)) != 0 {
+			list = append(list, core)
+		}
+	}
+	return list
+}
+
+// threadMask reads the cores on which a thread may run; 0 is the calling one.
+func threadMask(thread int) (coreMask, error) {
+	var mask coreMask
+	_, _, errno := syscall.RawSyscall(syscall.SYS_SCHED_GETAFFINITY, uintptr(thread), unsafe.Sizeof(mask),
+		uintptr(unsafe.Pointer(&mask)))
+	if errno != 0 {
+		return mask, fmt.Errorf("cores of thread %d: %w", thread, errno)
+	}
+	return mask, nil
+}
+
+func setThreadMask(thread int, mask coreMask) error {
+	_, _, errno := syscall.RawSyscall(syscall.SYS_SCHED_SETAFFINITY, uintptr(thread), unsafe.Sizeof(mask),
+		uintptr(unsafe.Pointer(&mask)))
+	if errno != 0 {
+		return fmt.Errorf("set the cores of thread %d to %v: %w", thread, mask.cores(), errno)
+	}
+	return nil
+}
+
+// AllowedCores lists the cores on which the tool may run.
+func AllowedCores() ([]int, error) {
+	mask, err := threadMask(0)
+	return mask.cores(), err
+}
+
+// RunOn keeps every thread of the tool on these cores, and as many goroutines at a time as there are of them.
+func RunOn(cores []int) error {
+	mask, err := maskOf(cores)
+	if err != nil {
+		return err
+	}
+	for range 2 { // a thread that was begun during the first pass may have the old set
+		if err := setAllThreads(mask); err != nil {
+			return err
+		}
+	}
+	runtime.GOMAXPROCS(len(cores))
+	return nil
+}
+
+func setAllThreads(mask coreMask) error {
+	threads, err := os.ReadDir("/proc/self/task")
+	if err != nil {
+		return err
+	}
+	for _, thread := range threads {
+		id, err := strconv.Atoi(thread.Name())
+		if err != nil {
+			return fmt.Errorf("thread %q: %w", thread.Name(), err)
+		}
+		if err := setThreadMask(id, mask); err != nil && !errors.Is(err, syscall.ESRCH) {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,241 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math"
+	"os"
+	"os/exec"
+	"reflect"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func sample() Result {
+	return Result{Experiment: "sample", Started: time.Date(2026, 12, 2, 5, 6, 7, 0, time.UTC), Took: 90 * time.Second,
+		Seed: 3, Commit: "abc+changes", Machine: Machine{"linux/amd64", "go1", 8, []int{0, 1}},
+		Figures: []Figure{
+			{Case: "idle", Quantity: "memory", Unit: "MiB", Value: 12.3456, Target: Target(32), Source: RealProxy},
+			{Case: "a|b", Quantity: "calls", Unit: "1", Value: 123456.7, Target: Target(5), Source: HollowProxy, Samples: 9},
+		}, Notes: []string{"one note"}}
+}
+
+func TestAResultComesBackAsItWasKept(t *testing.T) {
+	folder := t.TempDir()
+	kept := sample()
+	path, err := kept.Write(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasSuffix(path, "sample-20261202T050607Z-seed3.json") {
+		t.Errorf("kept in %s", path)
+	}
+	back, err := ReadResult(path)
+	if err != nil || !reflect.DeepEqual(back, kept) {
+		t.Errorf("kept %+v, came back %+v, %v", kept, back, err)
+	}
+	if paths, err := KeptResults(folder); err != nil || !slices.Equal(paths, []string{path}) {
+		t.Errorf("listed %v, %v", paths, err)
+	}
+}
+
+func TestWhatIsNoResultIsAnError(t *testing.T) {
+	for name, spoil := range map[string]func(*Result){
+		"experiment is missing": func(r *Result) { r.Experiment = "" },
+		"unit or source":        func(r *Result) { r.Figures[1].Unit = "" },
+		"NaN is no figure":      func(r *Result) { r.Figures[0].Value = math.NaN() },
+		"+Inf is no figure":     func(r *Result) { r.Figures[0].Value = math.Inf(1) },
+	} {
+		result := sample()
+		spoil(&result)
+		if _, err := result.Write(t.TempDir()); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	path := t.TempDir() + "/half.json"
+	if err := os.WriteFile(path, []byte(`{"experiment":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadResult(path); err == nil || !strings.Contains(err.Error(), "half.json") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestATargetStandsBesideItsFigure(t *testing.T) {
+	var table, markdown bytes.Buffer
+	if err := errors.Join(WriteTable(&table, sample()), WriteMarkdown(&markdown, sample())); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(table.String(), "\n")
+	wants := [][]string{
+		{"sample:", "2026-12-02T05:06:07Z,", "commit", "abc+changes,", "seed", "3,"},
+		{"CASE", "QUANTITY", "VALUE", "UNIT", "TARGET", "MET", "SOURCE", "SAMPLES"},
+		{"idle", "memory", "12.35", "MiB", "<=", "32", "yes", "real", "proxy"},
+		{"a|b", "calls", "123457", "1", "<=", "5", "NO", "hollow", "proxies", "9"},
+		{"note:", "one", "note"},
+	}
+	for i, want := range wants {
+		if got := strings.Fields(lines[i]); len(got) < len(want) || !slices.Equal(got[:len(want)], want) {
+			t.Errorf("line %d: got %q, want %q", i, got, want)
+		}
+	}
+	for _, row := range []string{"| idle | memory | 12.35 | MiB | <= 32 | yes | real proxy |  |\n",
+		"| a\\|b | calls | 123457 | 1 | <= 5 | NO | hollow proxies | 9 |\n", "\n- one note\n"} {
+		if !strings.Contains(markdown.String(), row) {
+			t.Errorf("%q is not in %q", row, markdown.String())
+		}
+	}
+	if missed := sample().Missed(); missed != 1 {
+		t.Errorf("missed %d", missed)
+	}
+}
+
+func TestARunHasItsLimits(t *testing.T) {
+	budget := NewBudget()
+	for range MostProcesses {
+		if err := budget.StartProcess(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var limit *LimitError
+	if err := budget.StartProcess(t.Context()); !errors.As(err, &limit) {
+		t.Errorf("process %d: %v", MostProcesses+1, err)
+	}
+	if _, err := StartProgram(t.Context(), Env{Budget: budget}, Program{Path: os.Args[0]}); !errors.As(err, &limit) {
+		t.Errorf("a program more: %v", err)
+	}
+	budget.EndProcess()
+	if err := budget.StartProcess(t.Context()); err != nil {
+		t.Errorf("a place was given back: %v", err)
+	}
+	half := machineMemory() / 2
+	budget.LowerMemory(1 << 62)
+	if half == 0 || budget.memory != half {
+		t.Errorf("limit %d, half of the machine's memory is %d", budget.memory, half)
+	}
+	budget.LowerMemory(1)
+	if err := budget.WatchMemory(t.Context()); !errors.As(err, &limit) {
+		t.Errorf("over the limit of memory: %v", err)
+	}
+}
+
+// cat is a program that lives until it is ended.
+func cat(t *testing.T) string {
+	t.Helper()
+	path, err := exec.LookPath("cat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func startCat(t *testing.T, ctx context.Context, budget *Budget, cores []int) *Process {
+	t.Helper()
+	// cat reads from a pipe that stays open.
+	process, err := StartProgram(ctx, Env{Budget: budget}, Program{Path: "/bin/sh", Cores: cores,
+		Args: []string{"-c", "exec " + cat(t) + " /proc/self/fd/0 <>" + fifo(t)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return process
+}
+
+func fifo(t *testing.T) string {
+	t.Helper()
+	path := t.TempDir() + "/fifo"
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestAProcessIsKnownUntilItEnds(t *testing.T) {
+	budget := NewBudget()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	process := startCat(t, ctx, budget, nil)
+	usage, err := process.Usage()
+	if err != nil || usage.Resident <= 0 || usage.Peak < usage.Resident || usage.CPU <= 0 {
+		t.Errorf("usage %+v, %v", usage, err)
+	}
+	own, err := residentMemory(selfPID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if total, err := budget.Memory(); err != nil || total <= own/2 || budget.Processes() != 1 {
+		t.Errorf("%d processes, %d bytes with %d of its own, %v", budget.Processes(), total, own, err)
+	}
+	cancel()
+	<-process.Ended()
+	if _, err := process.Usage(); !errors.Is(err, ErrEnded) {
+		t.Errorf("usage after the end: %v", err)
+	}
+	if err := process.Signal(syscall.SIGTERM); !errors.Is(err, ErrEnded) {
+		t.Errorf("signal after the end: %v", err)
+	}
+	if err := process.Err(); err == nil || !strings.Contains(err.Error(), "terminated") {
+		t.Errorf("ended with %v", err)
+	}
+	if budget.Processes() != 0 {
+		t.Errorf("%d processes", budget.Processes())
+	}
+	if _, err := StartProgram(ctx, Env{Budget: budget}, Program{Path: "/bin/sh"}); !errors.Is(err, context.Canceled) {
+		t.Errorf("a start after the end: %v", err)
+	}
+}
+
+func TestStopAllLeavesNothing(t *testing.T) {
+	budget := NewBudget()
+	list := []*Process{startCat(t, t.Context(), budget, nil), startCat(t, t.Context(), budget, nil)}
+	budget.StopAll()
+	for _, process := range list {
+		select {
+		case <-process.Ended():
+		default:
+			t.Error("a process is still there")
+		}
+	}
+}
+
+func TestAProcessRunsOnItsCores(t *testing.T) {
+	allowed, err := AllowedCores()
+	if err != nil || len(allowed) == 0 {
+		t.Fatalf("cores %v, %v", allowed, err)
+	}
+	last := allowed[len(allowed)-1:]
+	process := startCat(t, t.Context(), NewBudget(), last)
+	defer process.Kill()
+	mask, err := threadMask(process.PID())
+	if err != nil || !slices.Equal(mask.cores(), last) {
+		t.Errorf("it runs on %v, %v; want %v", mask.cores(), err, last)
+	}
+	if now, err := AllowedCores(); err != nil || !slices.Equal(now, allowed) {
+		t.Errorf("the tool runs on %v, %v; want %v", now, err, allowed)
+	}
+	if _, err := StartProgram(t.Context(), Env{Budget: NewBudget()}, Program{Path: cat(t), Cores: []int{-1}}); err == nil {
+		t.Error("a core below 0 is no error")
+	}
+}
+
+func TestAReservedPortIsNobodyElses(t *testing.T) {
+	place, err := reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer place.close()
+	if !strings.HasPrefix(place.address, "127.0.0.1:") || strings.HasSuffix(place.address, ":0") {
+		t.Errorf("reserved %s", place.address)
+	}
+	other, err := reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.close()
+	if other.address == place.address {
+		t.Errorf("%s is reserved twice", place.address)
+	}
+}
