--- a/cmd/scale/experiments.go
+++ b/cmd/scale/experiments.go
@@ -1,6 +1,11 @@
 package main
 
-import "fernlanding/internal/scale"
+import (
+	"fernlanding/internal/scale"
+	"fernlanding/internal/scale/slopes"
+)
 
 // experiments are all that the tool can run, in the order in which it lists them.
-var experiments = []scale.Experiment{}
+var experiments = []scale.Experiment{
+	slopes.Experiment,
+}
--- a/cmd/scale/run.go
+++ b/cmd/scale/run.go
@@ -180,6 +180,6 @@
 }
 
 func machine(allowed []int) scale.Machine {
-	return scale.Machine{System: runtime.GOOS + "/" + runtime.GOARCH, Go: runtime.Version(), Cores: runtime.NumCPU(),
+	return scale.Machine{System: runtime.GOOS + "/" + runtime.GOARCH, Go: runtime.Version(), Cores: scale.MachineCores(),
 		Allowed: allowed}
 }
--- a/internal/scale/affinity.go
+++ b/internal/scale/affinity.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strconv"
 	"syscall"
@@ -56,13 +57,26 @@
 	return nil
 }
 
+// MachineCores counts the cores of the machine, also those that the tool may not use.
+func MachineCores() int {
+	folders, err := filepath.Glob("/sys/devices/system/cpu/cpu[0-9]*")
+	if err != nil || len(folders) == 0 {
+		return runtime.NumCPU()
+	}
+	return len(folders)
+}
+
 // AllowedCores lists the cores on which the tool may run.
 func AllowedCores() ([]int, error) {
 	mask, err := threadMask(0)
 	return mask.cores(), err
 }
 
-// RunOn keeps every thread of the tool on these cores, and as many goroutines at a time as there are of them.
+// sleepers are goroutines that may hold a place of the scheduler while they sleep in the kernel, as those do that pace
+// load.
+const sleepers = 2
+
+// RunOn keeps every thread of the tool on these cores.
 func RunOn(cores []int) error {
 	mask, err := maskOf(cores)
 	if err != nil {
@@ -73,7 +87,7 @@
 			return err
 		}
 	}
-	runtime.GOMAXPROCS(len(cores))
+	runtime.GOMAXPROCS(len(cores) + sleepers)
 	return nil
 }
 
@@ -93,3 +107,16 @@
 	}
 	return nil
 }
+
+// Apart keeps the tool on all cores of the run but the last, which is left to the proxies that are measured. With one
+// core they share it. Undo gives the tool all cores of the run again.
+func Apart(cores []int) (forProxies []int, undo func() error, err error) {
+	if len(cores) < 2 {
+		return cores, func() error { return nil }, nil
+	}
+	last := len(cores) - 1
+	if err := RunOn(cores[:last]); err != nil {
+		return nil, nil, err
+	}
+	return cores[last:], func() error { return RunOn(cores) }, nil
+}
--- /dev/null
+++ b/internal/scale/fit.go
@@ -0,0 +1,50 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Line is a straight line through measured points.
+type Line struct {
+	Slope, Intercept float64
+}
+
+// Fit gives the line through points with the least squares of the distances in y. It takes two different x at least.
+func Fit(x, y []float64) (Line, error) {
+	if len(x) != len(y) {
+		return Line{}, fmt.Errorf("fit: %d x and %d y", len(x), len(y))
+	}
+	meanX, meanY := mean(x), mean(y)
+	var covariance, variance float64
+	for i := range x {
+		covariance += (x[i] - meanX) * (y[i] - meanY)
+		variance += (x[i] - meanX) * (x[i] - meanX)
+	}
+	if !(variance > 0) {
+		return Line{}, fmt.Errorf("fit: no two different x among %d", len(x))
+	}
+	slope := covariance / variance
+	return Line{Slope: slope, Intercept: meanY - slope*meanX}, nil
+}
+
+func mean(list []float64) float64 {
+	sum := 0.0
+	for _, x := range list {
+		sum += x
+	}
+	return sum / float64(len(list))
+}
+
+// Median gives the middle of a list, or the mean of the two in the middle; 0 of an empty one.
+func Median(list []float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(list))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
--- a/internal/scale/proxy.go
+++ b/internal/scale/proxy.go
@@ -28,7 +28,7 @@
 
 const (
 	readyPatience = 30 * time.Second
-	healthEvery   = 5 * time.Millisecond
+	healthEvery   = 2 * time.Millisecond
 	healthTimeout = time.Second
 )
 
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math"
 	"os"
-	"os/exec"
 	"reflect"
 	"slices"
 	"strings"
@@ -123,27 +122,32 @@
 	}
 }
 
-// cat is a program that lives until it is ended.
-func cat(t *testing.T) string {
-	t.Helper()
-	path, err := exec.LookPath("cat")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
+const readyWord = "ready"
 
+// startCat starts a program that has used some processor time and then lives until it is ended.
 func startCat(t *testing.T, ctx context.Context, budget *Budget, cores []int) *Process {
 	t.Helper()
-	// cat reads from a pipe that stays open.
-	process, err := StartProgram(ctx, Env{Budget: budget}, Program{Path: "/bin/sh", Cores: cores,
-		Args: []string{"-c", "exec " + cat(t) + " /proc/self/fd/0 <>" + fifo(t)}})
+	script := "i=0; while [ $i -lt 20000 ]; do i=$((i+1)); done; echo " + readyWord + "; exec cat <>" + fifo(t)
+	log := make(chanWriter, 1)
+	process, err := StartProgram(ctx, Env{Budget: budget}, Program{Path: "/bin/sh", Args: []string{"-c", script},
+		Cores: cores, Log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
+	if word := <-log; word != readyWord+"\n" {
+		t.Fatalf("it said %q", word)
+	}
 	return process
 }
 
+// chanWriter hands on what is written.
+type chanWriter chan string
+
+func (c chanWriter) Write(data []byte) (int, error) {
+	c <- string(data)
+	return len(data), nil
+}
+
 func fifo(t *testing.T) string {
 	t.Helper()
 	path := t.TempDir() + "/fifo"
@@ -216,7 +220,7 @@
 	if now, err := AllowedCores(); err != nil || !slices.Equal(now, allowed) {
 		t.Errorf("the tool runs on %v, %v; want %v", now, err, allowed)
 	}
-	if _, err := StartProgram(t.Context(), Env{Budget: NewBudget()}, Program{Path: cat(t), Cores: []int{-1}}); err == nil {
+	if _, err := StartProgram(t.Context(), Env{Budget: NewBudget()}, Program{Path: "/bin/sh", Cores: []int{-1}}); err == nil {
 		t.Error("a core below 0 is no error")
 	}
 }
