--- a/cmd/scale/experiments.go
+++ b/cmd/scale/experiments.go
@@ -2,10 +2,12 @@
 
 import (
 	"fernlanding/internal/scale"
+	"fernlanding/internal/scale/latency"
 	"fernlanding/internal/scale/slopes"
 )
 
 // experiments are all that the tool can run, in the order in which it lists them.
 var experiments = []scale.Experiment{
 	slopes.Experiment,
+	latency.Experiment,
 }
--- /dev/null
+++ b/internal/scale/latency/chain.go
@@ -0,0 +1,126 @@
+package latency
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"fernlanding/internal/emulator/registry"
+	"fernlanding/internal/scale"
+	"fernlanding/internal/scale/traffic"
+)
+
+const region = "region-1"
+
+// chain is a row of tiers, each with a backend that calls the next one. Clients call the first.
+type chain struct {
+	client   *traffic.Client   // of the first tier
+	clients  []*traffic.Client // of every tier
+	backends []*traffic.Backend
+	proxies  []*scale.Proxy // none where the tiers call each other directly
+	registry *registry.Service
+}
+
+// builder makes chains.
+type builder struct {
+	env    scale.Env
+	depth  int
+	listed int
+	cores  []int // of the proxies
+}
+
+// direct makes a chain without proxies.
+func (b builder) direct() (*chain, error) {
+	c := &chain{}
+	for range b.depth {
+		backend, err := traffic.StartBackend(c.client, b.env.Log)
+		if err != nil {
+			c.close()
+			return nil, err
+		}
+		c.backends = append(c.backends, backend)
+		c.front(backend.Address)
+	}
+	return c, nil
+}
+
+// proxied makes a chain in which each tier is called through a proxy.
+func (b builder) proxied(ctx context.Context) (*chain, error) {
+	c := &chain{}
+	var err error
+	c.registry, err = registry.New(registry.Config{Random: rand.New(rand.NewPCG(b.env.Seed, 0)),
+		Replicas: []registry.ReplicaConfig{{Name: "replica-1", Zone: scale.DefaultZones()[0], Region: region}}})
+	if err != nil {
+		return nil, err
+	}
+	for tier := b.depth - 1; tier >= 0; tier-- { // a tier's backend needs the address of the next tier's proxy
+		if err := b.addTier(ctx, c, tier); err != nil {
+			c.close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// addTier puts a tier in front of a chain.
+func (b builder) addTier(ctx context.Context, c *chain, tier int) error {
+	backend, err := traffic.StartBackend(c.client, b.env.Log)
+	if err != nil {
+		return err
+	}
+	c.backends = append(c.backends, backend)
+	list, name := fmt.Sprintf("tier-%d", tier), fmt.Sprintf("proxy-%d", tier)
+	zones := scale.DefaultZones()
+	if _, err := c.registry.Publish(list, region, backend.Endpoints(b.listed, zones)...); err != nil {
+		return err
+	}
+	discovery, err := c.registry.Listen(list, registry.Location{Name: name, Zone: zones[0], Region: region})
+	if err != nil {
+		return err
+	}
+	settings := scale.DefaultSettings(scale.Pushed)
+	settings.Stage = tier
+	proxy, err := scale.StartProxy(ctx, b.env, scale.ProxyConfig{Name: name, Discovery: discovery,
+		Seed: b.env.Seed + uint64(tier), Settings: settings, Cores: b.cores})
+	if err != nil {
+		return err
+	}
+	c.proxies = append(c.proxies, proxy)
+	c.front(proxy.Address)
+	return nil
+}
+
+// front makes an address the place where the chain is called.
+func (c *chain) front(address string) {
+	c.client = traffic.NewClient(address)
+	c.clients = append(c.clients, c.client)
+}
+
+// cpu is the processor time that the proxies have used.
+func (c *chain) cpu() (time.Duration, error) {
+	total := time.Duration(0)
+	for _, proxy := range c.proxies {
+		usage, err := proxy.Usage()
+		if err != nil {
+			return 0, err
+		}
+		total += usage.CPU
+	}
+	return total, nil
+}
+
+func (c *chain) close() {
+	for _, proxy := range c.proxies {
+		proxy.Kill()
+	}
+	for _, client := range c.clients {
+		client.Close()
+	}
+	for _, backend := range c.backends {
+		backend.Close()
+	}
+	if c.registry != nil {
+		c.registry.Close()
+	}
+}
--- /dev/null
+++ b/internal/scale/latency/latency_test.go
@@ -0,0 +1,139 @@
+package latency
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"fernlanding/internal/scale"
+	"fernlanding/internal/scale/scaletest"
+)
+
+func TestMain(m *testing.M) { os.Exit(scaletest.Main(m)) }
+
+// arrivals counts the calls that the blocks of a stage are to make, one way.
+func arrivals(env scale.Env, p plan, s stage) int64 {
+	total := int64(0)
+	for block := range s.blocks {
+		random := rand.New(rand.NewPCG(env.Seed, uint64(block)))
+		for at := 0.0; ; total++ {
+			if at += random.ExpFloat64() / s.rate; at >= p.block.Seconds() {
+				break
+			}
+		}
+	}
+	return total
+}
+
+func TestEveryCallIsCounted(t *testing.T) {
+	p := smallPlan()
+	for _, s := range []stage{{1, 50, 2}, {3, 20, 2}} {
+		env := scaletest.Env(t)
+		measured, err := perform(t.Context(), env, p, s, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", s.name(), err)
+		}
+		want := arrivals(env, p, s)
+		for way, got := range map[string]*times{"direct": measured.direct, "through": measured.through} {
+			if n := got.calls.TotalCount() + int64(got.notServed); n != want || got.lateness.TotalCount() != want {
+				t.Errorf("%s: %s: %d calls counted, %d begun, want %d", s.name(), way, n, got.lateness.TotalCount(), want)
+			}
+		}
+		if !(measured.busy > 0) {
+			t.Errorf("%s: the proxies used %v cores", s.name(), measured.busy)
+		}
+		if env.Budget.Processes() != 0 {
+			t.Errorf("%s: %d processes are left", s.name(), env.Budget.Processes())
+		}
+	}
+}
+
+func TestCallsPassEveryProxy(t *testing.T) {
+	const depth = 3
+	b := builder{env: scaletest.Env(t), depth: depth, listed: 2}
+	c, err := b.proxied(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	into := newTimes()
+	l := load{env: b.env, stage: stage{depth: depth, rate: 20}, client: c.client, into: into}
+	if err := l.block(t.Context(), 0, 200*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	if len(c.proxies) != depth || len(c.backends) != depth {
+		t.Fatalf("%d proxies, %d backends", len(c.proxies), len(c.backends))
+	}
+	for tier, backend := range c.backends {
+		if backend.Calls() < into.calls.TotalCount() || backend.Calls() == 0 {
+			t.Errorf("backend %d: %d calls arrived of %d that were served", tier, backend.Calls(), into.calls.TotalCount())
+		}
+	}
+	for tier, proxy := range c.proxies {
+		if usage, err := proxy.Usage(); err != nil || usage.ReadBytes == 0 {
+			t.Errorf("proxy %d: %+v, %v", tier, usage, err)
+		}
+	}
+}
+
+func TestTheRunEndsWithItsContext(t *testing.T) {
+	env := scaletest.Env(t)
+	stop := errors.New("enough")
+	ctx, cancel := context.WithCancelCause(t.Context())
+	env.Progress = func(string, ...any) { cancel(stop) }
+	if _, err := Experiment.Run(ctx, env); !errors.Is(err, stop) {
+		t.Errorf("got %v", err)
+	}
+	if env.Budget.Processes() != 0 {
+		t.Errorf("%d processes are left", env.Budget.Processes())
+	}
+}
+
+// fill records 1,000 calls of rising times.
+func fill(t *times, least, step time.Duration) {
+	start := time.Unix(0, 0)
+	for i := range 1000 {
+		t.record(start, start, start.Add(least+time.Duration(i)*step), nil)
+	}
+}
+
+func TestAddedIsTheDifference(t *testing.T) {
+	m := &measurement{direct: newTimes(), through: newTimes(), busy: 0.5}
+	fill(m.direct, time.Millisecond, 0)
+	fill(m.through, 3*time.Millisecond, time.Microsecond) // 3 to 4 ms
+	m.through.record(time.Unix(0, 0), time.Unix(0, 0), time.Unix(1, 0), errors.New("not served"))
+	figures := figuresOf(stage{depth: 2, rate: 10}, m)
+	for _, want := range []scale.Figure{
+		{Quantity: "time of a call, direct, median", Value: 1, Samples: 1000},
+		{Quantity: "time of a call, through, p99", Value: 3.99, Samples: 1000},
+		{Quantity: "added by percentiles, median", Value: 2.5, Samples: 1000},
+		{Quantity: "added by percentiles, p99", Value: 2.99, Samples: 1000, Target: scale.Target(2.8)},
+		{Quantity: "added by percentiles, p99, for each proxy", Value: 1.495, Samples: 1000},
+		{Quantity: "added to the median, p99", Value: 2.99, Samples: 1000, Target: scale.Target(2.8)},
+		{Quantity: "calls not served, through", Value: 1},
+		{Quantity: "calls not served, direct", Value: 0},
+	} {
+		at := slices.IndexFunc(figures, func(f scale.Figure) bool { return f.Quantity == want.Quantity })
+		if at < 0 {
+			t.Errorf("there is no %s", want.Quantity)
+			continue
+		}
+		got := figures[at]
+		sameTarget := (got.Target == nil) == (want.Target == nil) && (got.Target == nil || *got.Target == *want.Target)
+		if math.Abs(got.Value-want.Value) > 0.01 || got.Samples != want.Samples || !sameTarget {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	unserved := newTimes()
+	unserved.record(time.Unix(0, 0), time.Unix(0, 0), time.Unix(1, 0), errLost)
+	if err := unserved.check(); !errors.Is(err, errLost) {
+		t.Errorf("no call was served: got %v", err)
+	}
+}
+
+var errLost = errors.New("lost")
--- a/internal/scale/slopes/figures.go
+++ b/internal/scale/slopes/figures.go
@@ -56,6 +56,11 @@
 		}
 		figures = append(figures, lineFigures(m, q, line, len(points))...)
 	}
+	for _, p := range points {
+		figures = append(figures, scale.Figure{Case: fmt.Sprintf("%s, in use, %d listed", m.name, p.size),
+			Quantity: "calls not served", Unit: "calls", Value: float64(p.notServed), Source: scale.RealProxy,
+			Samples: p.calls})
+	}
 	return figures, nil
 }
 
--- a/internal/scale/traffic/openloop.go
+++ b/internal/scale/traffic/openloop.go
@@ -20,9 +20,8 @@
 // It returns once the last call has, with their number.
 func OpenLoop(ctx context.Context, rate float64, length time.Duration, random *rand.Rand,
 	call func(number int, intended time.Time)) (int, error) {
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	places := make(chan struct{}, mostOpen)
+	calls := newOpenCalls()
+	defer calls.running.Wait()
 	// The runtime's timers wake up to a millisecond late; a thread of its own can sleep more exactly.
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
@@ -37,18 +36,36 @@
 		if !sleepUntil(ctx, intended) {
 			return number, context.Cause(ctx)
 		}
-		select {
-		case places <- struct{}{}:
-		default:
-			return number, errors.New("the load has thousands of calls open: answers come more slowly than calls")
+		if err := calls.begin(func() { call(number, intended) }); err != nil {
+			return number, err
 		}
-		calls.Go(func() {
-			defer func() { <-places }()
-			call(number, intended)
-		})
 	}
 }
 
+// openCalls are the calls that have begun and not ended.
+type openCalls struct {
+	running sync.WaitGroup
+	places  chan struct{} // holds a word for each of them
+}
+
+func newOpenCalls() *openCalls { return &openCalls{places: make(chan struct{}, mostOpen)} }
+
+var errTooManyOpen = errors.New("the load has thousands of calls open: answers come more slowly than calls")
+
+// begin makes a call in a goroutine of its own, unless too many are open.
+func (o *openCalls) begin(call func()) error {
+	select {
+	case o.places <- struct{}{}:
+	default:
+		return errTooManyOpen
+	}
+	o.running.Go(func() {
+		defer func() { <-o.places }()
+		call()
+	})
+	return nil
+}
+
 // sleepUntil returns false if the context ends first.
 func sleepUntil(ctx context.Context, instant time.Time) bool {
 	for {
--- /dev/null
+++ b/internal/scale/traffic/traffic_test.go
@@ -0,0 +1,174 @@
+package traffic
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func startBackend(t *testing.T, next *Client) *Backend {
+	t.Helper()
+	backend, err := StartBackend(next, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(backend.Close)
+	return backend
+}
+
+func call(id string) Call {
+	return Call{ID: id, Class: "read", Tenant: "tenant-a", TimeoutMs: 60_000}
+}
+
+func TestACallGoesThroughTheTiers(t *testing.T) {
+	last := startBackend(t, nil)
+	middle := startBackend(t, NewClient(last.Address))
+	first := startBackend(t, NewClient(middle.Address))
+	client := NewClient(first.Address)
+	defer client.Close()
+	const calls = 3
+	for range calls {
+		if err := client.Call(call("1")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, backend := range []*Backend{first, middle, last} {
+		if backend.Calls() != calls {
+			t.Errorf("%d calls arrived", backend.Calls())
+		}
+	}
+	if client.Opened() != 1 {
+		t.Errorf("%d connections for calls one after the other", client.Opened())
+	}
+	last.Close()
+	if err := client.Call(call("1")); err != (StatusError{http.StatusInternalServerError}) {
+		t.Errorf("without the last tier: %v", err)
+	}
+	if err := client.Call(call("")); err != (StatusError{http.StatusNotFound}) {
+		t.Errorf("without an id: %v", err)
+	}
+}
+
+func TestAKeptConnectionMayHaveBeenClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	var served sync.WaitGroup
+	defer served.Wait()
+	served.Go(func() { // each connection is closed after its first answer
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			conn.Close()
+		}
+	})
+	client := NewClient(listener.Addr().String())
+	defer client.Close()
+	const calls = 3
+	for range calls {
+		if err := client.Call(call("1")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if client.Opened() != calls {
+		t.Errorf("%d connections for %d calls", client.Opened(), calls)
+	}
+	listener.Close()
+	if err := client.Call(call("1")); err == nil {
+		t.Error("a call that nobody answers is no error")
+	}
+}
+
+func TestASilentServerIsGivenUp(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client := NewClient(listener.Addr().String())
+	defer client.Close()
+	hurried := call("1")
+	hurried.TimeoutMs = 1
+	if err := client.Call(hurried); !errors.Is(err, errLate) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Calls that wait for each other would never end if a call had to wait for those before it.
+func TestLoadDoesNotWaitForAnswers(t *testing.T) {
+	const rate, length = 2000, 50 * time.Millisecond
+	draw := func() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+	want := 0
+	for at, random := 0.0, draw(); ; want++ {
+		if at += random.ExpFloat64() / rate; at >= length.Seconds() {
+			break
+		}
+	}
+	var begun atomic.Int64
+	all := make(chan struct{})
+	var mu sync.Mutex
+	intended := map[int]time.Time{}
+	calls, err := OpenLoop(t.Context(), rate, length, draw(), func(number int, at time.Time) {
+		mu.Lock()
+		intended[number] = at
+		mu.Unlock()
+		if begun.Add(1) == int64(want) {
+			close(all)
+		}
+		<-all
+	})
+	if err != nil || calls != want || len(intended) != want {
+		t.Errorf("%d calls, %d of them different, want %d; %v", calls, len(intended), want, err)
+	}
+	for i := 1; i < want; i++ {
+		if !intended[i].After(intended[i-1]) {
+			t.Errorf("call %d is meant for %v, the one before for %v", i, intended[i], intended[i-1])
+		}
+	}
+}
+
+func TestLoadEndsWithItsContext(t *testing.T) {
+	stop := errors.New("enough")
+	ctx, cancel := context.WithCancelCause(t.Context())
+	calls, err := OpenLoop(ctx, 1000, time.Hour, rand.New(rand.NewPCG(1, 1)), func(number int, _ time.Time) {
+		if number == 3 {
+			cancel(stop)
+		}
+	})
+	if !errors.Is(err, stop) || calls < 4 {
+		t.Errorf("%d calls, %v", calls, err)
+	}
+}
+
+func TestOpenCallsHaveABound(t *testing.T) {
+	calls := newOpenCalls()
+	release := make(chan struct{})
+	for range mostOpen {
+		if err := calls.begin(func() { <-release }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := calls.begin(func() {}); !errors.Is(err, errTooManyOpen) {
+		t.Errorf("one more: %v", err)
+	}
+	close(release)
+	calls.running.Wait()
+	if err := calls.begin(func() {}); err != nil {
+		t.Errorf("after the others: %v", err)
+	}
+}
