Add experiment reload: time until a changed configuration is in force at 60 proxies

Nothing showed from outside how soon a change is in force at many proxies. The experiment starts 60 real proxies with light load, adds a class to all their files, signals them at once and asks each for that class until it is known. A proxy that has not taken a change after 10 s is counted.

--- a/cmd/scale/experiments.go
+++ b/cmd/scale/experiments.go
@@ -3,6 +3,7 @@
 import (
 	"fernlanding/internal/scale"
 	"fernlanding/internal/scale/latency"
+	"fernlanding/internal/scale/reload"
 	"fernlanding/internal/scale/slopes"
 )
 
@@ -10,4 +11,5 @@
 var experiments = []scale.Experiment{
 	slopes.Experiment,
 	latency.Experiment,
+	reload.Experiment,
 }
