--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 	killLeeway  = 500 * time.Millisecond // and somewhat more
 	servePart   = 0.7                    // of the time between: requests are taken; the rest is for their answers
 	takenLate   = 600 * time.Millisecond // what comes later than 0.7 s after SIGTERM and is cut off by SIGKILL is lost
+	longestWait = 100 * time.Millisecond // for the loop's word on the longest deadline
 	drainStep   = 20 * time.Millisecond
 )
 
@@ -242,7 +243,7 @@
 
 // longest is the loop's word on the longest deadline, or what the settings say where the loop is too busy for one.
 func (p *Proxy) longest() time.Duration {
-	ctx, cancel := context.WithTimeout(context.Background(), drainStep)
+	ctx, cancel := context.WithTimeout(context.Background(), longestWait)
 	defer cancel()
 	word := make(chan time.Duration, 1)
 	if err := p.loop.do(ctx, func() { word <- p.loop.longest() }); err != nil {
