Hand what was learned of classes to a new version by name

A new version took counts and health by place. With settings that change while a process runs, the two may differ, and a class got another's counts. Notes of earlier versions hold no names and are taken by place as before. The new test fails without the names.

--- a/logic/learned.go
+++ b/logic/learned.go
@@ -14,6 +14,7 @@
 
 // LearnedClass is what was learned of a class.
 type LearnedClass struct {
+	Name  string  `json:"name,omitempty"`
 	Count float64 `json:"count"`
 	Mean  float64 `json:"mean"`
 	Base  float64 `json:"base"`
@@ -33,8 +34,8 @@
 func (b *Balancer) Learned() Learned {
 	l := Learned{Tier: b.tier.count, Share: b.share, Spill: b.spill, Errs: b.errs,
 		Servers: make(map[string]LearnedServer, len(b.all))}
-	for _, c := range b.classes {
-		l.Classes = append(l.Classes, LearnedClass{c.rule.count, c.mean, c.base, c.seen, c.errs})
+	for i, c := range b.classes {
+		l.Classes = append(l.Classes, LearnedClass{b.s.Classes[i].Name, c.rule.count, c.mean, c.base, c.seen, c.errs})
 	}
 	for _, s := range b.all {
 		k := LearnedServer{Launched: s.Launched, Slowness: s.slowness, Left: s.whole.left}
@@ -47,7 +48,7 @@
 }
 
 // Learn lets a fresh copy begin where another stands; what makes no sense is left out. It takes no part in what that
-// one still has out.
+// one still has out. Classes are known again by their names, since the other may have other settings.
 func (b *Balancer) Learn(l Learned) {
 	set := func(to *float64, v, least, most float64) {
 		if v >= least && v <= most { // never so for NaN
@@ -58,11 +59,16 @@
 	set(&b.share, l.Share, shareLow, b.shareMost)
 	set(&b.spill, l.Spill, spillLow, 1)
 	set(&b.errs, l.Errs, 0, 1)
-	if len(l.Classes) != len(b.classes) {
-		return
+	var noted []string
+	for _, k := range l.Classes {
+		noted = append(noted, k.Name)
 	}
-	for i, k := range l.Classes {
-		c := b.classes[i]
+	places := matchNames(noted, classNames(b.s.Classes))
+	for i, from := range places {
+		if from < 0 {
+			continue
+		}
+		c, k := b.classes[i], l.Classes[from]
 		set(&c.rule.count, k.Count, c.rule.least, startCount)
 		set(&c.mean, k.Mean, 1, math.MaxInt32)
 		set(&c.base, k.Base, 1, c.mean)
@@ -71,13 +77,15 @@
 	}
 	for _, s := range b.all {
 		k, ok := l.Servers[s.ID]
-		if !ok || k.Launched != s.Launched || len(k.Classes) != len(b.classes) {
+		if !ok || k.Launched != s.Launched || len(k.Classes) != len(l.Classes) {
 			continue
 		}
 		set(&s.slowness, k.Slowness, 1/slowMost, slowMost)
 		set(&s.whole.left, k.Left, healthFloor, 1)
-		for i, left := range k.Classes {
-			set(&s.health(b.classes[i]).left, left, healthFloor, 1)
+		for i, from := range places {
+			if from >= 0 {
+				set(&s.health(b.classes[i]).left, k.Classes[from], healthFloor, 1)
+			}
 		}
 	}
 }
--- a/logic/learned_test.go
+++ b/logic/learned_test.go
@@ -45,3 +45,32 @@
 		}
 	}
 }
+
+// The configuration may have changed between the start of the old process and that of the new one.
+func TestWhatIsHandedOverStaysWithItsName(t *testing.T) {
+	s := named(testSettings())
+	old, _ := with(t, s, 2)
+	old.classes[0].rule.count, old.classes[1].rule.count, old.classes[2].rule.count = 20, 30, 40
+	old.byID["s0"].health(old.classes[1]).left = 0.5
+	l := old.Learned()
+	moved := s
+	moved.Classes = []Class{s.Classes[2], s.Classes[1], {Name: "fresh", Aim: 1, Deadline: 1}}
+	b, _ := with(t, moved, 2)
+	b.Learn(l)
+	if one, two, fresh := b.classes[0].rule.count, b.classes[1].rule.count, b.classes[2].rule.count; one != 40 || two != 30 || fresh != startCount {
+		t.Errorf("counts %v, %v, %v", one, two, fresh)
+	}
+	if health := b.byID["s0"]; health.health(b.classes[1]).left != 0.5 || health.health(b.classes[0]).left != 1 {
+		t.Errorf("health %+v", health.classes)
+	}
+}
+
+// An earlier version noted no names: its classes stand at their places.
+func TestNotesWithoutNamesAreTakenByPlace(t *testing.T) {
+	old, _ := with(t, testSettings(), 2)
+	old.classes[1].rule.count = 30
+	b, _ := with(t, named(testSettings()), 2)
+	if b.Learn(old.Learned()); b.classes[1].rule.count != 30 || b.classes[0].rule.count != startCount {
+		t.Errorf("counts %v, %v", b.classes[0].rule.count, b.classes[1].rule.count)
+	}
+}
--- a/logic/reconfigure.go
+++ b/logic/reconfigure.go
@@ -120,14 +120,15 @@
 	return names
 }
 
-// matchNames tells where each name stood before, -1 if nowhere. An empty one stands for its place.
+// matchNames tells where each name stood before, -1 if nowhere. Where one is empty, places stand for names.
 func matchNames(before, after []string) []int {
 	from := make([]int, len(after))
 	for i, name := range after {
-		from[i] = slices.Index(before, name)
-		if name == "" && (i >= len(before) || before[i] != "") {
-			from[i] = -1
-		} else if name == "" {
+		from[i] = -1
+		if name != "" {
+			from[i] = slices.Index(before, name)
+		}
+		if from[i] < 0 && i < len(before) && (name == "" || before[i] == "") {
 			from[i] = i
 		}
 		if slices.Contains(from[:i], from[i]) { // the name is given twice
--- a/logic/reconfigure_test.go
+++ b/logic/reconfigure_test.go
@@ -283,7 +283,7 @@
 	if after.Tier != 7.5 || after.Share != 0.6 || after.Spill != 0.4 || after.Errs != 0.2 {
 		t.Errorf("of the tier: %+v", after)
 	}
-	want := []LearnedClass{before.Classes[2], before.Classes[1], {Count: startCount, Mean: 200_000, Base: 200_000}}
+	want := []LearnedClass{before.Classes[2], before.Classes[1], {Name: "fresh", Count: startCount, Mean: 200_000, Base: 200_000}}
 	if !reflect.DeepEqual(after.Classes, want) {
 		t.Errorf("of the classes: got %+v, want %+v", after.Classes, want)
 	}
