--- /dev/null
+++ b/internal/emulator/hollow/loop.go
@@ -0,0 +1,353 @@
+package hollow
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/logic"
+)
+
+const (
+	// The module answers a request by its deadline; so much later the request is failed whatever the module says.
+	expireAfter = 10 * time.Millisecond
+
+	eventBuffer = 16 // events that wait for the loop without blocking who has them
+)
+
+// clock gives the module's time: microseconds that begin at the Unix time of the start and then follow the monotonic
+// clock.
+type clock struct{ start time.Time }
+
+func (c clock) now() int64           { return c.at(time.Now()) }
+func (c clock) at(t time.Time) int64 { return c.start.UnixMicro() + t.Sub(c.start).Microseconds() }
+func (c clock) time(micros int64) time.Time {
+	return c.start.Add(time.Duration(micros-c.start.UnixMicro()) * time.Microsecond)
+}
+
+type eventKind uint8
+
+const (
+	callTaken eventKind = iota
+	callWithdrawn
+	attemptEnded
+)
+
+// event is what happens to the loop from outside, but for lists.
+type event struct {
+	kind    eventKind
+	request *request
+	attempt *attempt     // of attemptEnded
+	status  logic.Status // of attemptEnded
+}
+
+// request is one call. Only call and answer are set before the loop has it.
+type request struct {
+	call   Call
+	answer chan Result // takes the one final answer without a wait; nil for a drawn call
+
+	giveUp   int64
+	over     bool
+	sends    int // that the module asked for
+	attempts int // that were carried out
+	current  *attempt
+	expiry   *timer
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	request *request
+	number  int
+	sent    int64
+	stop    context.CancelFunc // gives it up; nil if it was not carried out
+}
+
+// loop owns the Balancer and the table of requests. It tells the module all that happens, one event after the other,
+// and carries its decisions out as its logic.Host.
+type loop struct {
+	cfg      Config
+	balancer *logic.Balancer
+	zones    discovery.Zones
+	clock    clock
+	drawer   *drawer
+
+	events        chan event
+	lists         chan discovery.Update
+	watchRequests chan struct{} // the module's word to watch the list
+	done          chan struct{} // closed when the loop has ended
+
+	requests map[string]*request // until answered and no attempt is out
+	timers   timerHeap
+	unsent   []*attempt // that cannot be carried out; their outcomes follow the present event
+	attempts sync.WaitGroup
+	ctx      context.Context // of all attempts
+}
+
+func newLoop(cfg Config, balancer *logic.Balancer) *loop {
+	return &loop{cfg: cfg, balancer: balancer, zones: discovery.NewZones(cfg.Zones), clock: clock{time.Now()},
+		drawer: newDrawer(cfg), events: make(chan event, eventBuffer), lists: make(chan discovery.Update),
+		watchRequests: make(chan struct{}, 1), done: make(chan struct{}), requests: map[string]*request{}}
+}
+
+// run plays events until the context ends, and then waits until every attempt has ended.
+func (l *loop) run(ctx context.Context) {
+	defer l.attempts.Wait()
+	defer close(l.done)
+	attempts, stop := context.WithCancel(ctx)
+	defer stop()
+	l.ctx = attempts
+	l.drawNext()
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for l.next(ctx, alarm) {
+		l.settle()
+		l.fire()
+		if len(l.timers) > 0 {
+			alarm.Reset(time.Until(l.clock.time(l.timers[0].at)))
+		}
+	}
+}
+
+// next waits for one event and plays it. It returns false once the context has ended. Lists come before all else:
+// nothing may go to a backend known to drain.
+func (l *loop) next(ctx context.Context, alarm *time.Timer) bool {
+	select {
+	case update := <-l.lists:
+		l.list(update)
+		return true
+	default:
+	}
+	select {
+	case update := <-l.lists:
+		l.list(update)
+	case e := <-l.events:
+		l.play(e)
+	case <-alarm.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+func (l *loop) play(e event) {
+	switch e.kind {
+	case callTaken:
+		l.take(e.request)
+	case callWithdrawn:
+		l.withdraw(e.request, Result{})
+	case attemptEnded:
+		l.outcome(e.attempt, e.status)
+	}
+}
+
+// post hands an event to the loop. It returns false if the loop or the context has ended.
+func (l *loop) post(ctx context.Context, e event) bool {
+	select {
+	case l.events <- e:
+		return true
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// settle tells the module of the sends that could not be carried out. It may send again, so this goes on until none
+// is left.
+func (l *loop) settle() {
+	for len(l.unsent) > 0 {
+		a := l.unsent[0]
+		l.unsent = l.unsent[1:]
+		l.outcome(a, logic.Moot)
+	}
+}
+
+// fire plays the timers that are due.
+func (l *loop) fire() {
+	now := l.clock.now()
+	for t := l.timers.due(now); t != nil; t = l.timers.due(now) {
+		switch t.kind {
+		case moduleTimer:
+			l.balancer.Timer(now, l, t.token)
+		case requestExpiry:
+			l.withdraw(t.request, Result{})
+		case drawnCall:
+			l.take(&request{call: l.drawer.call()})
+			l.drawNext()
+		}
+		l.settle()
+	}
+}
+
+// drawNext sets the timer of the next drawn call, if calls are drawn.
+func (l *loop) drawNext() {
+	if l.cfg.CallsPerSecond > 0 {
+		l.timers.add(&timer{at: l.clock.now() + l.drawer.wait().Microseconds(), kind: drawnCall})
+	}
+}
+
+// list tells the module what a call to discovery brought.
+func (l *loop) list(update discovery.Update) {
+	if update.List == nil {
+		l.balancer.List(l.clock.now(), l, logic.Failed, nil)
+		return
+	}
+	kind := logic.Delta
+	if update.List.Snapshot {
+		kind = logic.Full
+	}
+	l.apply(kind, update.List)
+	if l.cfg.Applied != nil {
+		l.cfg.Applied(update.List, time.Now())
+	}
+}
+
+func (l *loop) apply(kind logic.ListKind, list *discovery.List) {
+	l.balancer.List(l.clock.now(), l, kind, l.zones.Servers(list.Endpoints))
+}
+
+// take hands a request to the module. It has until the request's deadline to end it.
+func (l *loop) take(r *request) {
+	if l.requests[r.call.ID] != nil { // two under one ID could not be told apart
+		l.end(r, Result{})
+		return
+	}
+	now := l.clock.now()
+	r.giveUp = l.deadline(now, r.call)
+	l.requests[r.call.ID] = r
+	r.expiry = &timer{at: r.giveUp + expireAfter.Microseconds(), kind: requestExpiry, request: r}
+	l.timers.add(r.expiry)
+	l.balancer.Request(now, l, logic.Request{ID: r.call.ID, Class: r.call.Class, Tenant: r.call.Tenant, Key: r.call.Key,
+		GiveUp: r.giveUp})
+}
+
+func (l *loop) deadline(now int64, call Call) int64 {
+	if !call.Deadline.IsZero() {
+		return l.clock.at(call.Deadline)
+	}
+	if classes := l.cfg.Settings.Classes; call.Class >= 0 && call.Class < len(classes) {
+		return now + classes[call.Class].Deadline
+	}
+	return now // the module fails it
+}
+
+// end gives a request its final answer, if it has none yet.
+func (l *loop) end(r *request, result Result) {
+	if r.over {
+		return
+	}
+	r.over = true
+	result.Attempts = r.attempts
+	if r.answer != nil {
+		r.answer <- result
+	} else if l.cfg.Answered != nil {
+		l.cfg.Answered(r.call, result)
+	}
+	l.forget(r)
+}
+
+// forget drops a request that is answered and has no attempt out.
+func (l *loop) forget(r *request) {
+	if !r.over || r.current != nil || l.requests[r.call.ID] != r {
+		return
+	}
+	delete(l.requests, r.call.ID)
+	l.timers.remove(r.expiry)
+}
+
+// withdraw ends a request that nobody waits for any more, and its attempt.
+func (l *loop) withdraw(r *request, result Result) {
+	if r.over {
+		return
+	}
+	l.end(r, result)
+	l.balancer.Withdrawn(l.clock.now(), l, r.call.ID)
+	if r.current != nil {
+		r.current.stop()
+	}
+}
+
+// outcome tells the module how an attempt ended; a served request has its answer first.
+func (l *loop) outcome(a *attempt, status logic.Status) {
+	r := a.request
+	if r.current == a {
+		r.current = nil
+	}
+	if status == logic.OK {
+		l.end(r, Result{Outcome: Served})
+	}
+	now := l.clock.now()
+	l.balancer.Outcome(now, l, logic.Outcome{ID: r.call.ID, Attempt: a.number, Status: status, Took: now - a.sent,
+		Closed: r.over})
+	l.forget(r)
+}
+
+// Send implements logic.Host. The time lapse, by which a repeat's last byte has to reach the server, needs no care:
+// an attempt goes out at once.
+func (l *loop) Send(id, server string, timeout, _ int64) {
+	r := l.requests[id]
+	if r == nil { // the module knows only requests of the table
+		panic("hollow proxy: send for the unknown request " + strconv.Quote(id))
+	}
+	now := l.clock.now()
+	until := r.giveUp
+	if timeout != 0 {
+		until = min(until, now+timeout)
+	}
+	a := &attempt{request: r, number: r.sends, sent: now}
+	r.sends++
+	if l.cfg.Upstream == nil || r.over || r.current != nil { // never two attempts of a request at once
+		l.unsent = append(l.unsent, a)
+		return
+	}
+	r.current = a
+	r.attempts++
+	l.start(a, server, l.clock.time(until))
+}
+
+// start carries an attempt out.
+func (l *loop) start(a *attempt, server string, until time.Time) {
+	ctx, stop := context.WithDeadline(l.ctx, until)
+	a.stop = stop
+	call := a.request.call
+	call.Deadline = until
+	l.attempts.Go(func() {
+		defer stop()
+		status := l.cfg.Upstream.Attempt(ctx, server, call)
+		if status == logic.Cancelled && ctx.Err() == context.DeadlineExceeded {
+			status = logic.TimedOut
+		}
+		l.post(context.Background(), event{kind: attemptEnded, attempt: a, status: status})
+	})
+}
+
+// Refuse implements logic.Host.
+func (l *loop) Refuse(id string, after int64) {
+	if r := l.requests[id]; r != nil {
+		l.end(r, Result{Outcome: Refused, RetryAfter: time.Duration(after) * time.Microsecond})
+	}
+}
+
+// Fail implements logic.Host.
+func (l *loop) Fail(id string) {
+	if r := l.requests[id]; r != nil {
+		l.end(r, Result{})
+	}
+}
+
+// SetTimer implements logic.Host.
+func (l *loop) SetTimer(delay int64, token string) {
+	l.timers.add(&timer{at: l.clock.now() + delay, kind: moduleTimer, token: token})
+}
+
+// Watch implements logic.Host. Where the list is pushed the watch stands anyway.
+func (l *loop) Watch() {
+	select {
+	case l.watchRequests <- struct{}{}:
+	default:
+	}
+}
+
+// Log implements logic.Host. The module's reports of a thousand proxies are of no use.
+func (l *loop) Log(string) {}
