--- /dev/null
+++ b/internal/scale/propagation/figures.go
@@ -0,0 +1,107 @@
+package propagation
+
+import (
+	"fmt"
+	"time"
+
+	"fernlanding/internal/scale"
+)
+
+const (
+	propagationTarget  = 3.0 // s
+	proxyTrafficTarget = 5.0 // KB/s
+
+	kilobyte = 1000.0
+)
+
+// measurement is what one job gave.
+type measurement struct {
+	times    times
+	accepted int // changes
+	notIn    int // changes not in force when the wait for them ended
+	outage   bool
+	loads    []load
+	traffic  []int64 // bytes of each proxy over all phases
+}
+
+// measured gives what has been measured. Nothing may go on meanwhile but the proxies' watches.
+func (f *fleet) measured() *measurement {
+	t := f.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &measurement{times: t.times, accepted: t.accepted, notIn: t.open, outage: !t.returned.IsZero(),
+		loads: f.load.loads, traffic: f.load.traffic}
+}
+
+// figures gives the figures of one case.
+func (m *measurement) figures(name string) []scale.Figure {
+	b := &figureBuilder{name: name}
+	if m.outage {
+		b.times("accepted, or back in reach, to in force at the last proxy", m.times.inForce, scale.Target(propagationTarget))
+		b.times("accepted to in force at the last proxy, those out of reach included", m.times.uncorrected, nil)
+	} else {
+		b.times("accepted to in force at the last proxy", m.times.inForce, scale.Target(propagationTarget))
+	}
+	b.add("changes never in force", "changes", float64(m.notIn), scale.Target(0), m.accepted)
+	if n := m.times.startToList.count(); n > 0 {
+		b.times("start of a proxy to its first answer", m.times.startToList, nil)
+		b.times("accepted to in force at the last started proxy", m.times.atStarted, scale.Target(propagationTarget))
+	}
+	b.load(m.loads)
+	b.traffic(m.loads, m.traffic)
+	return b.figures
+}
+
+// figureBuilder gathers the figures of one case.
+type figureBuilder struct {
+	name    string
+	figures []scale.Figure
+}
+
+func (b *figureBuilder) add(quantity, unit string, value float64, target *float64, samples int) {
+	b.figures = append(b.figures, scale.Figure{Case: b.name, Quantity: quantity, Unit: unit, Value: value, Target: target,
+		Source: scale.HollowProxy, Samples: samples})
+}
+
+func (b *figureBuilder) times(quantity string, l *latencies, target *float64) {
+	if l.count() == 0 {
+		return
+	}
+	b.add(quantity+", median", "s", l.quantile(0.5), target, l.count())
+	b.add(quantity+", p99", "s", l.quantile(0.99), target, l.count())
+	b.add(quantity+", worst", "s", l.quantile(1), target, l.count())
+}
+
+func (b *figureBuilder) load(loads []load) {
+	all := most(loads)
+	b.add("calls at the replica with the most, mean", "calls/s", all.calls, nil, 0)
+	b.add("calls at a replica, busiest second", "calls/s", float64(all.busiestCalls), nil, 0)
+	b.add("bytes at the replica with the most, mean", "KB/s", all.bytes/kilobyte, nil, 0)
+	b.add("bytes at a replica, busiest second", "KB/s", float64(all.busiestBytes)/kilobyte, nil, 0)
+	b.add("calls refused", "calls", float64(all.refused), nil, 0)
+	for _, l := range loads {
+		if l.phase == "" {
+			continue
+		}
+		phase := most([]load{l})
+		b.add(fmt.Sprintf("calls at a replica, busiest second %s", l.phase), "calls/s", float64(phase.busiestCalls), nil, 0)
+		b.add(fmt.Sprintf("bytes at a replica, busiest second %s", l.phase), "KB/s", float64(phase.busiestBytes)/kilobyte,
+			nil, 0)
+	}
+}
+
+func (b *figureBuilder) traffic(loads []load, traffic []int64) {
+	length := time.Duration(0)
+	for _, l := range loads {
+		length += l.length
+	}
+	total, highest := int64(0), int64(0)
+	for _, bytes := range traffic {
+		total += bytes
+		highest = max(highest, bytes)
+	}
+	perSecond := func(bytes float64) float64 { return bytes / length.Seconds() / kilobyte }
+	b.add("bytes of a proxy, mean of all", "KB/s", perSecond(float64(total)/float64(len(traffic))),
+		scale.Target(proxyTrafficTarget), len(traffic))
+	b.add("bytes of a proxy, the most", "KB/s", perSecond(float64(highest)), scale.Target(proxyTrafficTarget), len(traffic))
+}
--- /dev/null
+++ b/internal/scale/propagation/fleet.go
@@ -0,0 +1,161 @@
+package propagation
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/emulator/registry"
+)
+
+// startLimit is how long the first proxies may take until all have their lists.
+const startLimit = 30 * time.Second
+
+var errNotStarted = errors.New("the first proxies did not get their lists in time")
+
+// fleetConfig says what a fleet is to be.
+type fleetConfig struct {
+	size         size
+	ask          bool
+	seed         uint64
+	network      network
+	zoneHeldBack string // whose proxies do not start with the others
+}
+
+// fleet is a discovery service and the proxies that watch its lists.
+type fleet struct {
+	fleetConfig
+	service  *registry.Service
+	tracker  *tracker
+	changer  *changer
+	random   *rand.Rand // the scenario's draws
+	watchers []*watcher
+	backends map[string]int // of each list at the beginning
+	load     loadMeter
+}
+
+// The streams of random numbers that a fleet draws from its seed.
+const (
+	serviceStream uint64 = iota + 1
+	changeStream
+	scenarioStream
+	watcherStream
+)
+
+func newFleet(ctx context.Context, config fleetConfig) (*fleet, error) {
+	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(config.seed, n)) }
+	service, err := registry.New(registry.Config{Replicas: replicas(config.size.replicaCalls), Ask: config.ask,
+		ReplicationDelay: replicationDelay, Random: stream(serviceStream)})
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{fleetConfig: config, service: service, tracker: newTracker(), changer: newChanger(stream(changeStream)),
+		random: stream(scenarioStream), backends: map[string]int{}}
+	if err := f.fill(ctx, stream(watcherStream)); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// fill puts the backends on the lists and makes the proxies, each of which has a backend beside it.
+func (f *fleet) fill(ctx context.Context, seeds *rand.Rand) error {
+	published := map[string]map[string][]discovery.Endpoint{} // by list and region
+	for i := range f.size.proxies {
+		z := zones()[i%len(zones())]
+		service := i % f.size.services
+		own, calls := listName(service), listName((service+1)%f.size.services)
+		e := discovery.Endpoint{Name: fmt.Sprintf("backend-%03d", i), Zone: z.name, Group: i % len(zones()),
+			Address: fmt.Sprintf("127.0.0.1:%d", 20000+i), Status: discovery.Serving}
+		if published[own] == nil {
+			published[own] = map[string][]discovery.Endpoint{}
+		}
+		published[own][z.region] = append(published[own][z.region], e)
+		f.backends[own]++
+		f.changer.add(own, e)
+		f.tracker.preset(e)
+		w := &watcher{zone: i % len(zones()), ordinal: i / f.size.services, list: calls, seed: seeds.Uint64(),
+			location: registry.Location{Name: fmt.Sprintf("proxy-%03d", i), Zone: z.name, Region: z.region}}
+		if err := f.connect(w); err != nil {
+			return err
+		}
+		f.watchers = append(f.watchers, w)
+	}
+	for service := range f.size.services {
+		for _, region := range []string{east, west} {
+			endpoints := published[listName(service)][region]
+			if len(endpoints) == 0 {
+				continue
+			}
+			if _, err := f.service.Publish(listName(service), region, endpoints...); err != nil {
+				return err
+			}
+		}
+	}
+	return wait(ctx, 2*replicationDelay) // or the first proxies would be told the lists in two parts
+}
+
+func listName(service int) string { return fmt.Sprintf("service-%02d", service) }
+
+// connect tells a proxy where discovery is.
+func (f *fleet) connect(w *watcher) error {
+	address, dial, err := f.network(f.service, w.list, w.location)
+	if err != nil {
+		return err
+	}
+	w.address, w.dial = address, counted(dial, &w.traffic)
+	return nil
+}
+
+// start runs a proxy that does not run.
+func (f *fleet) start(ctx context.Context, w *watcher) error {
+	f.tracker.join(w)
+	return w.run(ctx, f.ask, func(list *discovery.List, at time.Time) { f.tracker.applied(w, list, at) })
+}
+
+// startUp starts the first proxies and returns once all have their lists.
+func (f *fleet) startUp(ctx context.Context) error {
+	type start struct {
+		after time.Duration
+		w     *watcher
+	}
+	var starts []start
+	for _, w := range f.watchers {
+		if w.location.Zone != f.zoneHeldBack {
+			starts = append(starts, start{time.Duration(f.random.Int64N(int64(f.size.startSpread))), w})
+		}
+	}
+	slices.SortFunc(starts, func(a, b start) int { return cmp.Compare(a.after, b.after) })
+	began := time.Now()
+	for _, s := range starts {
+		if err := wait(ctx, time.Until(began.Add(s.after))); err != nil {
+			return err
+		}
+		if err := f.start(ctx, s.w); err != nil {
+			return err
+		}
+	}
+	listed := func() bool { return f.tracker.allListed(func(list string) int { return f.backends[list] }) }
+	if !f.tracker.await(ctx, startLimit, listed) {
+		return cmp.Or(ctx.Err(), errNotStarted)
+	}
+	return nil
+}
+
+// awaitAllInForce waits until no change is on its way, or as long as the size says.
+func (f *fleet) awaitAllInForce(ctx context.Context) {
+	f.tracker.await(ctx, f.size.settle, f.tracker.allInForce)
+}
+
+// close ends the proxies and the service. The context of all that it runs has ended.
+func (f *fleet) close() {
+	for _, w := range f.watchers {
+		w.stop()
+	}
+	f.service.Close()
+}
--- /dev/null
+++ b/internal/scale/propagation/network.go
@@ -0,0 +1,50 @@
+package propagation
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/emulator/registry"
+)
+
+// network tells how a proxy reaches discovery: the address, and the dialer for it.
+type network func(s *registry.Service, list string, at registry.Location) (string, discovery.Dialer, error)
+
+// overTCP gives each proxy a loopback address of its own.
+func overTCP(s *registry.Service, list string, at registry.Location) (string, discovery.Dialer, error) {
+	address, err := s.Listen(list, at)
+	return address, (&net.Dialer{}).DialContext, err
+}
+
+// counted has a dialer's connections count their bytes.
+func counted(dial discovery.Dialer, bytes *atomic.Int64) discovery.Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: conn, bytes: bytes}, nil
+	}
+}
+
+// countingConn counts what it reads and writes.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/scale/propagation/size.go
@@ -0,0 +1,70 @@
+package propagation
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	changesPerDay = 2200
+	day           = 24 * time.Hour
+
+	replicationDelay = 50 * time.Millisecond // of the stand-in's replicas
+)
+
+// size says how large and how long the scenarios are.
+type size struct {
+	proxies, services int
+	changesPerSecond  float64
+	replicaCalls      float64       // calls that a replica can take in a second, where calls are asked
+	startSpread       time.Duration // the first proxies start over this time
+	parallel          int           // scenarios at once, each with a service and proxies of its own
+
+	quiet        time.Duration // before a fault
+	calm         time.Duration // without any
+	outage       time.Duration // of a replica or a zone
+	partition    time.Duration // of the regions
+	after        time.Duration // changes go on for so long after the last fault
+	silences     int           // in a row
+	silenceEvery time.Duration
+	restarts     int // over restartSpan
+	restartSpan  time.Duration
+	settle       time.Duration // a change not in force so long after the end is counted as never in force
+}
+
+// fullSize is the operators' size.
+func fullSize() size {
+	return size{proxies: 970, services: 29, changesPerSecond: 2.5, replicaCalls: 500, startSpread: 2 * time.Second,
+		parallel: 4, quiet: 4 * time.Second, calm: 40 * time.Second, outage: 20 * time.Second,
+		partition: 2 * time.Minute, after: 12 * time.Second, silences: 6, silenceEvery: 6 * time.Second, restarts: 170,
+		restartSpan: 30 * time.Second, settle: 15 * time.Second}
+}
+
+// smallSize is to try the experiment.
+func smallSize() size {
+	return size{proxies: 60, services: 6, changesPerSecond: 5, replicaCalls: 50, startSpread: time.Second,
+		parallel: 16, quiet: time.Second, calm: 6 * time.Second, outage: 5 * time.Second, partition: 8 * time.Second,
+		after: 5 * time.Second, silences: 2, silenceEvery: 5 * time.Second, restarts: 10, restartSpan: 4 * time.Second,
+		settle: 15 * time.Second}
+}
+
+// compression is how much faster changes come than in the operators' day.
+func (s size) compression() float64 { return s.changesPerSecond * day.Seconds() / changesPerDay }
+
+// notes tell the sizes of a run and what limits it.
+func (s size) notes() []string {
+	return []string{
+		fmt.Sprintf("Each case has %d hollow proxies in %d services, %d zones and 2 regions, with a discovery service of %d "+
+			"replicas of its own on loopback TCP; %d cases run at once on the same cores.",
+			s.proxies, s.services, len(zones()), len(replicas(0)), s.parallel),
+		fmt.Sprintf("Changes come %.0f times as fast as %d a day, %.3g a second: drains, removals and restarts of backends, "+
+			"accepted in the backend's region.", s.compression(), changesPerDay, s.changesPerSecond),
+		fmt.Sprintf("Stated for the service: a replica takes %v calls a second in turn where the list is asked for, and a "+
+			"change reaches the other replicas after %v; the network adds nothing.", s.replicaCalls, replicationDelay),
+		"The time of a change ends when the module of the last proxy that watches its list has taken it in. Where proxies " +
+			"were cut off from it, it is counted from the return for them; the same from the acceptance stands beside, " +
+			"without target.",
+		"Loads leave out the start of the first proxies. A replica's mean is that of the replica with the most.",
+		"Bytes are those of HTTP on the connections, both ways, without TCP's and IP's headers; 1 KB is 1,000 bytes.",
+	}
+}
