Check the propagation experiment exactly on the clock of synctest

Changes count from the return also where only a lost replica had them, and proxies restart after a while.

--- a/internal/scale/propagation/figures.go
+++ b/internal/scale/propagation/figures.go
@@ -19,7 +19,8 @@
 	times    times
 	accepted int // changes
 	notIn    int // changes not in force when the wait for them ended
-	outage   bool
+	asked    bool
+	outage   bool // some changes could not reach some proxies when they were accepted
 	loads    []load
 	traffic  []int64 // bytes of each proxy over all phases
 }
@@ -29,7 +30,7 @@
 	t := f.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &measurement{times: t.times, accepted: t.accepted, notIn: t.open, outage: !t.returned.IsZero(),
+	return &measurement{times: t.times, accepted: t.accepted, notIn: t.open, asked: f.ask, outage: f.scenario.outOfReach,
 		loads: f.load.loads, traffic: f.load.traffic}
 }
 
@@ -43,11 +44,11 @@
 		b.times("accepted to in force at the last proxy", m.times.inForce, scale.Target(propagationTarget))
 	}
 	b.add("changes never in force", "changes", float64(m.notIn), scale.Target(0), m.accepted)
-	if n := m.times.startToList.count(); n > 0 {
-		b.times("start of a proxy to its first answer", m.times.startToList, nil)
-		b.times("accepted to in force at the last started proxy", m.times.atStarted, scale.Target(propagationTarget))
+	b.times("start of a proxy to its list", m.times.startToList, nil)
+	b.times("accepted, or back in reach, to in force at the last started proxy", m.times.atStarted, scale.Target(propagationTarget))
+	if m.asked {
+		b.load(m.loads)
 	}
-	b.load(m.loads)
 	b.traffic(m.loads, m.traffic)
 	return b.figures
 }
--- a/internal/scale/propagation/fleet.go
+++ b/internal/scale/propagation/fleet.go
@@ -13,18 +13,18 @@
 	"fernlanding/internal/emulator/registry"
 )
 
-// startLimit is how long the first proxies may take until all have their lists.
-const startLimit = 30 * time.Second
+const (
+	startLimit = 30 * time.Second       // for the first proxies until all have their lists
+	startPause = 100 * time.Millisecond // then, or the last of these answers would still count in what is measured
+)
 
 var errNotStarted = errors.New("the first proxies did not get their lists in time")
 
 // fleetConfig says what a fleet is to be.
 type fleetConfig struct {
-	size         size
-	ask          bool
-	seed         uint64
-	network      network
-	zoneHeldBack string // whose proxies do not start with the others
+	job
+	size    size
+	network network
 }
 
 // fleet is a discovery service and the proxies that watch its lists.
@@ -126,7 +126,7 @@
 	}
 	var starts []start
 	for _, w := range f.watchers {
-		if w.location.Zone != f.zoneHeldBack {
+		if w.location.Zone != f.scenario.zoneHeldBack {
 			starts = append(starts, start{time.Duration(f.random.Int64N(int64(f.size.startSpread))), w})
 		}
 	}
@@ -144,7 +144,7 @@
 	if !f.tracker.await(ctx, startLimit, listed) {
 		return cmp.Or(ctx.Err(), errNotStarted)
 	}
-	return nil
+	return wait(ctx, startPause)
 }
 
 // awaitAllInForce waits until no change is on its way, or as long as the size says.
--- a/internal/scale/propagation/propagation.go
+++ b/internal/scale/propagation/propagation.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 
 	"golang.org/x/sync/errgroup"
 
@@ -41,7 +43,22 @@
 	if env.Small {
 		size = smallSize()
 	}
-	jobs := allJobs(env.Seed)
+	size.parallel = min(size.parallel, jobsAtOnce(size))
+	return runJobs(ctx, env, size, allJobs(env.Seed))
+}
+
+// jobsAtOnce is how many jobs the limit of file descriptors lets run at once, and one at least.
+func jobsAtOnce(size size) int {
+	const perProxy = 4 // a listener, both ends of a connection, and at times those of a second one
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 1
+	}
+	return int(max(1, min(limit.Cur/uint64(perProxy*size.proxies), math.MaxInt32)))
+}
+
+// runJobs plays jobs over TCP and gives their figures in the order of the jobs.
+func runJobs(ctx context.Context, env scale.Env, size size, jobs []job) (scale.Result, error) {
 	figures := make([][]scale.Figure, len(jobs))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(size.parallel)
@@ -78,8 +95,7 @@
 // run plays the scenario on a fleet of its own.
 func (j job) run(ctx context.Context, size size, network network) (*measurement, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	f, err := newFleet(ctx, fleetConfig{size: size, ask: j.ask, seed: j.seed, network: network,
-		zoneHeldBack: j.scenario.zoneHeldBack})
+	f, err := newFleet(ctx, fleetConfig{job: j, size: size, network: network})
 	if err != nil {
 		cancel()
 		return nil, err
--- /dev/null
+++ b/internal/scale/propagation/propagation_test.go
@@ -0,0 +1,224 @@
+package propagation
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/emulator/registry"
+	"fernlanding/internal/scale"
+)
+
+const testSeed = 20261202
+
+// The ways of the proxies to discovery.
+const (
+	shortestWay = 200 * time.Microsecond
+	waySpread   = 300 * time.Microsecond
+)
+
+// inMemory gives connections that need no sockets. Each proxy has a way of its own length to discovery, as it would have
+// on a network: no two calls arrive at the same instant, so that their order is none of the scheduler's.
+func inMemory(s *registry.Service, list string, at registry.Location) (string, discovery.Dialer, error) {
+	hash := fnv.New64a()
+	hash.Write([]byte(at.Name))
+	delay := shortestWay + time.Duration(hash.Sum64()%uint64(waySpread))
+	dial := s.Dialer(list, at)
+	return "discovery:1", func(ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(delay)
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &delayedConn{conn, delay}, nil
+	}, nil
+}
+
+// delayedConn delays what it sends.
+type delayedConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *delayedConn) Write(p []byte) (int, error) {
+	time.Sleep(c.delay)
+	return c.Conn.Write(p)
+}
+
+// play runs a job of the small size on the clock of synctest.
+func play(t *testing.T, j job) (m *measurement) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		if m, err = j.run(t.Context(), smallSize(), inMemory); err != nil {
+			t.Fatal(err)
+		}
+	})
+	return m
+}
+
+// bounds are between what the worst time of a scenario has to be, in seconds. Where a fault bites, there is a lower one.
+type bounds struct{ least, most float64 }
+
+// Some scenarios cost little, as the replicas' delay of 50 ms and some capacity for calls is all that they need. A
+// silent watch is found out after its wait and the patience for its answer: 2 s and 0.1 s where the list is pushed;
+// 2.5 s and 0.5 s where it is asked for, and the whole list waits for its turn then. There each failed call lengthens
+// the waits by a quarter, and each answer shortens them by 50 ms, so that silences in a row take more than the target of
+// 3 s. A zone that is cut off silences the watches of those in other zones who are connected to its replica.
+var worstTimes = map[string]bounds{
+	"asked, regions apart and back":          {0.05, 0.5},
+	"pushed, regions apart and back":         {0.05, 0.5},
+	"asked, watches silent now and then":     {1.5, 3.8},
+	"pushed, watches silent now and then":    {1.5, 2.3},
+	"asked, watches silent again and again":  {1.5, 3.8},
+	"pushed, watches silent again and again": {1.5, 2.3},
+	"asked, calm":                            {0.05, 0.5},
+	"pushed, calm":                           {0.05, 0.5},
+	"asked, a replica killed and back":       {0.05, 1},
+	"pushed, a replica killed and back":      {0.05, 0.5},
+	"asked, a zone cut and back":             {0.2, 3.8},
+	"pushed, a zone cut and back":            {0.05, 0.5},
+	"asked, a zone's proxies start at once":  {0.05, 0.5},
+	"pushed, a zone's proxies start at once": {0.05, 0.5},
+	"asked, restarts of proxies":             {0.05, 0.5},
+	"pushed, restarts of proxies":            {0.05, 0.5},
+}
+
+func TestChangesAreInForceWithinTheBoundsOfTheClient(t *testing.T) {
+	for _, j := range allJobs(testSeed) {
+		t.Run(j.name(), func(t *testing.T) {
+			m, bounds := play(t, j), worstTimes[j.name()]
+			if worst := m.times.inForce.quantile(1); worst < bounds.least || worst > bounds.most {
+				t.Errorf("worst %v s, bounds %v", worst, bounds)
+			}
+			if m.notIn != 0 {
+				t.Errorf("%d of %d changes are not in force", m.notIn, m.accepted)
+			}
+			if n := m.times.inForce.count(); n != m.accepted || n < 20 {
+				t.Errorf("%d changes of %d measured", n, m.accepted)
+			}
+			checkStarts(t, j, m)
+		})
+	}
+}
+
+// checkStarts looks at the figures of proxies that start.
+func checkStarts(t *testing.T, j job, m *measurement) {
+	t.Helper()
+	started := 0
+	if j.scenario.zoneHeldBack != "" {
+		started = smallSize().proxies / len(zones())
+	}
+	if n := m.times.startToList.count(); n != started {
+		t.Errorf("%d starts are timed, want %d", n, started)
+	}
+	if worst := m.times.startToList.quantile(1); worst > 0.5 {
+		t.Errorf("a proxy had its list after %v s", worst)
+	}
+	if worst := m.times.atStarted.quantile(1); worst > 0.5 {
+		t.Errorf("a change was in force at the started proxies after %v s", worst)
+	}
+}
+
+func TestSameSeedGivesTheSameFigures(t *testing.T) {
+	for _, j := range allJobs(testSeed) {
+		t.Run(j.name(), func(t *testing.T) {
+			first, second := play(t, j).figures(j.name()), play(t, j).figures(j.name())
+			if len(first) != len(second) {
+				t.Fatalf("%d figures, then %d", len(first), len(second))
+			}
+			for i, f := range first {
+				if f.Quantity != second[i].Quantity || f.Value != second[i].Value || f.Samples != second[i].Samples {
+					t.Errorf("%+v, then %+v", f, second[i])
+				}
+			}
+		})
+	}
+}
+
+func TestAnotherSeedGivesOtherFigures(t *testing.T) {
+	one, other := play(t, allJobs(testSeed)[0]), play(t, allJobs(testSeed + 1)[0])
+	if one.times.inForce.quantile(1) == other.times.inForce.quantile(1) && one.accepted == other.accepted {
+		t.Errorf("both seeds give %d changes and %v s", one.accepted, one.times.inForce.quantile(1))
+	}
+}
+
+// synctest finds whatever goes on after the end.
+func TestEndOfContextEndsAll(t *testing.T) {
+	for _, j := range allJobs(testSeed) {
+		for _, after := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), after)
+				defer cancel()
+				began := time.Now()
+				_, err := j.run(ctx, smallSize(), inMemory)
+				if took := time.Since(began); !errors.Is(err, context.DeadlineExceeded) || took > after+time.Second {
+					t.Errorf("%s: error %v after %v, ended at %v", j.name(), err, took, after)
+				}
+			})
+		}
+	}
+}
+
+// tinySize takes some seconds of real time.
+func tinySize() size {
+	s := smallSize()
+	s.proxies, s.changesPerSecond, s.startSpread, s.parallel = 10, 40, 10*time.Millisecond, 16
+	s.services, s.quiet, s.calm, s.outage, s.partition = 2, 50*time.Millisecond, time.Second, 200*time.Millisecond,
+		200*time.Millisecond
+	s.after, s.restarts, s.restartSpan, s.downTime = 500*time.Millisecond, 4, 100*time.Millisecond, 50*time.Millisecond
+	s.silenceSeldom, s.silenceOften = 500*time.Millisecond, 500*time.Millisecond
+	return s
+}
+
+func TestRunOverTCPGivesAllFigures(t *testing.T) {
+	jobs := allJobs(testSeed)
+	env := scale.Env{Seed: testSeed, Progress: func(string, ...any) {}}
+	result, err := runJobs(t.Context(), env, tinySize(), jobs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]map[string]scale.Figure{}
+	for _, f := range result.Figures {
+		if f.Quantity == "" || f.Unit == "" || f.Source != scale.HollowProxy {
+			t.Errorf("figure %+v lacks something", f)
+		}
+		if seen[f.Case] == nil {
+			seen[f.Case] = map[string]scale.Figure{}
+		}
+		if _, twice := seen[f.Case][f.Quantity]; twice {
+			t.Errorf("%s: %q is given twice", f.Case, f.Quantity)
+		}
+		seen[f.Case][f.Quantity] = f
+	}
+	for _, j := range jobs {
+		figures := seen[j.name()]
+		if f := figures["changes never in force"]; f.Value != 0 || f.Samples == 0 {
+			t.Errorf("%s: %+v", j.name(), f)
+		}
+		if f := figures["bytes of a proxy, mean of all"]; f.Value <= 0 || f.Target == nil {
+			t.Errorf("%s: %+v", j.name(), f)
+		}
+		if f, ok := figures["calls at a replica, busiest second"]; ok != j.ask || j.ask && f.Value <= 0 {
+			t.Errorf("%s: %+v", j.name(), f)
+		}
+	}
+	if len(result.Notes) == 0 {
+		t.Error("no notes")
+	}
+}
+
+func TestNotesStateTheSize(t *testing.T) {
+	notes := strings.Join(fullSize().notes(), "\n")
+	for _, want := range []string{"970 hollow proxies in 29 services", "5 zones", "2 regions", "98 times", "2200 a day"} {
+		if !strings.Contains(notes, want) {
+			t.Errorf("the notes do not state %q:\n%s", want, notes)
+		}
+	}
+}
--- a/internal/scale/propagation/scenario.go
+++ b/internal/scale/propagation/scenario.go
@@ -9,19 +9,24 @@
 type scenario struct {
 	name         string
 	zoneHeldBack string // its proxies do not start with the others
+	outOfReach   bool   // some changes can't reach some proxies when they are accepted
 	play         func(ctx context.Context, f *fleet) error
 }
 
 func scenarios() []scenario {
 	return []scenario{ // the longest first, since some run at once
-		{name: "regions apart and back", play: playRegionsApart},
+		{name: "regions apart and back", outOfReach: true, play: playRegionsApart},
+		{name: "watches silent now and then", play: func(ctx context.Context, f *fleet) error {
+			return playSilences(ctx, f, f.size.silenceSeldom)
+		}},
+		{name: "watches silent again and again", play: func(ctx context.Context, f *fleet) error {
+			return playSilences(ctx, f, f.size.silenceOften)
+		}},
 		{name: "calm", play: playCalm},
-		{name: "a replica killed and back", play: playReplicaKilled},
-		{name: "watches silent once", play: playSilence},
-		{name: "watches silent again and again", play: playSilences},
-		{name: "a zone cut and back", play: playZoneCut},
+		{name: "a replica killed and back", outOfReach: true, play: playReplicaKilled},
+		{name: "a zone cut and back", outOfReach: true, play: playZoneCut},
 		{name: "a zone's proxies start at once", zoneHeldBack: startedZone, play: playZoneStarts},
-		{name: "restarts of proxies", play: playRestarts},
+		{name: "restarts of proxies", outOfReach: true, play: playRestarts},
 	}
 }
 
@@ -41,6 +46,7 @@
 		return err
 	}
 	f.nextLoad(afterTheKill)
+	f.tracker.beginOutage(justBefore(time.Now()))
 	if err := f.service.Kill(killedReplica); err != nil {
 		return err
 	}
@@ -48,49 +54,55 @@
 		return err
 	}
 	f.nextLoad(atTheReturn)
+	f.tracker.endOutage(time.Now())
 	if err := f.service.Restart(killedReplica); err != nil {
 		return err
 	}
 	return wait(ctx, f.size.after)
 }
 
-func playSilence(ctx context.Context, f *fleet) error {
+// playSilences has all watches fall silent a number of times.
+func playSilences(ctx context.Context, f *fleet, every time.Duration) error {
 	if err := wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
-	f.service.SilenceWatches()
-	return wait(ctx, f.size.after)
-}
-
-func playSilences(ctx context.Context, f *fleet) error {
 	for range f.size.silences {
-		if err := wait(ctx, f.size.silenceEvery); err != nil {
+		f.service.SilenceWatches()
+		if err := wait(ctx, every); err != nil {
 			return err
 		}
-		f.service.SilenceWatches()
 	}
-	return wait(ctx, f.size.after)
+	return nil
 }
 
-func playZoneCut(ctx context.Context, f *fleet) error {
-	apart := func(w *watcher, c *change) bool { return w.location.Zone == cutZone }
-	return playOutage(ctx, f, f.size.outage, apart,
-		func() { f.service.CutZone(cutZone) }, func() { f.service.HealZone(cutZone) })
+// justBefore gives the changes that a replica lost at some time can hold alone.
+func justBefore(lost time.Time) outOfReach {
+	return func(_ *watcher, c *change) bool {
+		return c.at.Before(lost) && c.at.After(lost.Add(-replicationDelay))
+	}
 }
 
-func playRegionsApart(ctx context.Context, f *fleet) error {
-	apart := func(w *watcher, c *change) bool { return w.location.Region != c.region }
-	return playOutage(ctx, f, f.size.partition, apart, f.service.CutRegions, f.service.HealRegions)
+func playZoneCut(ctx context.Context, f *fleet) error {
+	if err := wait(ctx, f.size.quiet); err != nil {
+		return err
+	}
+	alone := justBefore(time.Now())
+	f.tracker.beginOutage(func(w *watcher, c *change) bool { return w.location.Zone == cutZone || alone(w, c) })
+	f.service.CutZone(cutZone)
+	return playReturn(ctx, f, f.size.outage, func() { f.service.HealZone(cutZone) })
 }
 
-// playOutage cuts something off for a while. Apart tells which proxies can't have a change meanwhile.
-func playOutage(ctx context.Context, f *fleet, length time.Duration, apart func(*watcher, *change) bool,
-	cut, heal func()) error {
+func playRegionsApart(ctx context.Context, f *fleet) error {
 	if err := wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
-	f.tracker.beginOutage(apart)
-	cut()
+	f.tracker.beginOutage(func(w *watcher, c *change) bool { return w.location.Region != c.region })
+	f.service.CutRegions()
+	return playReturn(ctx, f, f.size.partition, f.service.HealRegions)
+}
+
+// playReturn ends an outage after a while.
+func playReturn(ctx context.Context, f *fleet, length time.Duration, heal func()) error {
 	if err := wait(ctx, length); err != nil {
 		return err
 	}
@@ -117,19 +129,25 @@
 	return wait(ctx, f.size.after)
 }
 
-// playRestarts restarts proxies one after the other, each with the list that it had.
+// playRestarts ends proxies one after the other and starts each again after a while, with the list that it had.
 func playRestarts(ctx context.Context, f *fleet) error {
 	if err := wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
 	f.tracker.timeStarts()
-	for _, i := range f.random.Perm(len(f.watchers))[:f.size.restarts] {
-		w := f.watchers[i]
-		w.stop()
-		if err := f.start(ctx, w); err != nil {
-			return err
+	drawn := f.random.Perm(len(f.watchers))[:f.size.restarts]
+	every := f.size.restartSpan / time.Duration(len(drawn))
+	down := int(f.size.downTime / every) // proxies at once
+	for i := range len(drawn) + down {
+		if i < len(drawn) {
+			f.watchers[drawn[i]].stop()
+		}
+		if i >= down {
+			if err := f.start(ctx, f.watchers[drawn[i-down]]); err != nil {
+				return err
+			}
 		}
-		if err := wait(ctx, f.size.restartSpan/time.Duration(f.size.restarts)); err != nil {
+		if err := wait(ctx, every); err != nil {
 			return err
 		}
 	}
--- a/internal/scale/propagation/tracker.go
+++ b/internal/scale/propagation/tracker.go
@@ -35,6 +35,9 @@
 	atStarted   time.Duration // the same for the proxies whose starts are timed; 0: none
 }
 
+// outOfReach tells whether a proxy can't have a change during an outage.
+type outOfReach func(*watcher, *change) bool
+
 // tracker follows changes until they are in force at all proxies that watch their list. It knows a change by what it
 // sets of its endpoint, since versions of the list differ from replica to replica. A proxy that has a later state of the
 // endpoint has the change too.
@@ -45,7 +48,7 @@
 	open      int
 	accepted  int
 	timed     bool // starts are timed
-	apart     func(*watcher, *change) bool
+	apart     outOfReach
 	returned  time.Time // end of the outage; zero before
 	progress  chan struct{}
 	times     times
@@ -68,12 +71,12 @@
 	t.revisions[e.Name] = []endpointState{stateOf(e)}
 }
 
-// join counts a proxy that starts among those that have to have the changes from now on. One that has joined before
-// keeps what it still waits for.
+// join counts a proxy that starts among those that have to have the changes from now on. One that starts anew has to
+// have what it has missed, too.
 func (t *tracker) join(w *watcher) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w.startedAt, w.awaitsList, w.timed = time.Now(), true, t.timed
+	w.startedAt, w.awaitsList, w.timed = time.Now(), w.entries == nil, t.timed
 	if !w.joined {
 		w.joined = true
 		t.watchers[w.list] = append(t.watchers[w.list], w)
@@ -139,13 +142,10 @@
 
 // reached counts a change as in force at one more proxy.
 func (t *tracker) reached(w *watcher, c *change, at time.Time) {
-	from := c.at
-	if !t.returned.IsZero() && c.at.Before(t.returned) && !at.Before(t.returned) && t.apart(w, c) {
-		from = t.returned
-	}
+	from := t.countedFrom(w, c, at)
 	c.last, c.uncorrected = max(c.last, at.Sub(from)), max(c.uncorrected, at.Sub(c.at))
 	if w.timed {
-		c.atStarted = max(c.atStarted, at.Sub(c.at))
+		c.atStarted = max(c.atStarted, at.Sub(from))
 	}
 	if c.waiting--; c.waiting > 0 {
 		return
@@ -158,6 +158,18 @@
 	}
 }
 
+// countedFrom is when a change could first reach a proxy: its acceptance, or the proxy's return to where it could.
+func (t *tracker) countedFrom(w *watcher, c *change, at time.Time) time.Time {
+	from := c.at
+	if w.startedAt.After(from) {
+		from = w.startedAt
+	}
+	if t.returned.After(from) && !at.Before(t.returned) && t.apart(w, c) {
+		from = t.returned
+	}
+	return from
+}
+
 // timeStarts has the starts from now on timed.
 func (t *tracker) timeStarts() {
 	t.mu.Lock()
@@ -166,7 +178,7 @@
 }
 
 // beginOutage says which proxies can't have which changes until endOutage.
-func (t *tracker) beginOutage(apart func(*watcher, *change) bool) {
+func (t *tracker) beginOutage(apart outOfReach) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.apart = apart
--- /dev/null
+++ b/internal/scale/propagation/tracker_test.go
@@ -0,0 +1,178 @@
+package propagation
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fernlanding/internal/discovery"
+	"fernlanding/internal/emulator/registry"
+)
+
+const testList = "service-00"
+
+// trackerTest drives a tracker by hand.
+type trackerTest struct {
+	*testing.T
+	tracker *tracker
+	start   time.Time
+}
+
+func newTrackerTest(t *testing.T, backends ...string) *trackerTest {
+	tt := &trackerTest{T: t, tracker: newTracker(), start: time.Now()}
+	for _, name := range backends {
+		tt.tracker.preset(serving(name, 0))
+	}
+	return tt
+}
+
+func serving(name string, since int64) discovery.Endpoint {
+	return discovery.Endpoint{Name: name, Address: "127.0.0.1:1", Status: discovery.Serving, SinceMs: since}
+}
+
+func withStatus(e discovery.Endpoint, status discovery.Status) discovery.Endpoint {
+	e.Status = status
+	return e
+}
+
+func (tt *trackerTest) watcher(zone, region string) *watcher {
+	w := &watcher{list: testList, location: registry.Location{Zone: zone, Region: region}}
+	tt.tracker.join(w)
+	w.startedAt = tt.start
+	return w
+}
+
+func (tt *trackerTest) publish(after time.Duration, region string, e discovery.Endpoint) {
+	tt.Helper()
+	accept := func() (time.Time, error) { return tt.start.Add(after), nil }
+	if err := tt.tracker.publish(testList, region, e, accept); err != nil {
+		tt.Fatal(err)
+	}
+}
+
+func (tt *trackerTest) apply(w *watcher, after time.Duration, snapshot bool, entries ...discovery.Endpoint) {
+	list := &discovery.List{Snapshot: snapshot, Endpoints: entries}
+	tt.tracker.applied(w, list, tt.start.Add(after))
+}
+
+// want checks how many changes are still open and the worst time of those that are not, in seconds.
+func (tt *trackerTest) want(open int, worst float64) {
+	tt.Helper()
+	if got := tt.tracker.open; got != open {
+		tt.Errorf("%d changes are open, want %d", got, open)
+	}
+	if got := tt.tracker.times.inForce.quantile(1); got < 0.999*worst || got > 1.001*worst {
+		tt.Errorf("worst time %v s, want %v", got, worst)
+	}
+}
+
+func TestChangeIsInForceAtTheLastProxy(t *testing.T) {
+	tt := newTrackerTest(t, "a")
+	one, other := tt.watcher("zone-1", east), tt.watcher("zone-2", east)
+	for _, w := range []*watcher{one, other} {
+		tt.apply(w, 0, true, serving("a", 0))
+	}
+	drained := withStatus(serving("a", 0), discovery.Draining)
+	tt.publish(time.Second, east, drained)
+	tt.apply(one, 1100*time.Millisecond, false, drained)
+	tt.apply(other, 1200*time.Millisecond, false) // nothing new
+	tt.want(1, 0)
+	tt.apply(other, 1500*time.Millisecond, false, drained)
+	tt.want(0, 0.5)
+}
+
+func TestLaterStateOfAnEndpointHasTheEarlierChangesToo(t *testing.T) {
+	tt := newTrackerTest(t, "a")
+	w := tt.watcher("zone-1", east)
+	tt.apply(w, 0, true, serving("a", 0))
+	drained := withStatus(serving("a", 0), discovery.Draining)
+	tt.publish(time.Second, east, drained)
+	tt.publish(2*time.Second, east, withStatus(drained, discovery.Deleted))
+	tt.publish(3*time.Second, east, serving("a", 3000))
+	tt.apply(w, 4*time.Second, true) // it is not listed
+	tt.want(1, 3)
+	tt.apply(w, 5*time.Second, false, serving("a", 3000))
+	tt.want(0, 3)
+}
+
+func TestOutageCountsFromTheReturnForThoseCutOff(t *testing.T) {
+	tt := newTrackerTest(t, "a", "b")
+	near, far := tt.watcher("zone-1", east), tt.watcher("zone-4", west)
+	for _, w := range []*watcher{near, far} {
+		tt.apply(w, 0, true, serving("a", 0), serving("b", 0))
+	}
+	tt.tracker.beginOutage(func(w *watcher, c *change) bool { return w.location.Region != c.region })
+	changed := serving("a", 1000)
+	tt.publish(time.Second, east, changed)
+	tt.apply(near, 1200*time.Millisecond, false, changed)
+	tt.tracker.endOutage(tt.start.Add(60 * time.Second))
+	tt.apply(far, 60100*time.Millisecond, false, changed)
+	tt.want(0, 0.2)
+	if got := tt.tracker.times.uncorrected.quantile(1); got < 59 {
+		t.Errorf("the uncorrected time is %v s", got)
+	}
+	again := serving("b", 61000)
+	tt.publish(61*time.Second, east, again) // after the return all count alike
+	tt.apply(near, 61100*time.Millisecond, false, again)
+	tt.apply(far, 62*time.Second, false, again)
+	tt.want(0, 1)
+}
+
+func TestRestartedProxyIsCountedFromItsStart(t *testing.T) {
+	tt := newTrackerTest(t, "a")
+	w := tt.watcher("zone-1", east)
+	tt.apply(w, 0, true, serving("a", 0))
+	changed := serving("a", 1000)
+	tt.publish(time.Second, east, changed)
+	tt.tracker.timeStarts()
+	tt.tracker.join(w)
+	w.startedAt = tt.start.Add(3 * time.Second)
+	tt.apply(w, 3100*time.Millisecond, true, changed)
+	tt.want(0, 0.1)
+	if n := tt.tracker.times.startToList.count(); n != 0 {
+		t.Errorf("%d starts with a list are timed", n)
+	}
+	if n := tt.tracker.times.atStarted.count(); n != 1 {
+		t.Errorf("%d changes are timed at started proxies", n)
+	}
+}
+
+func TestStartWithoutAListIsTimed(t *testing.T) {
+	tt := newTrackerTest(t, "a")
+	tt.tracker.timeStarts()
+	w := tt.watcher("zone-1", east)
+	tt.apply(w, 300*time.Millisecond, true, serving("a", 0))
+	if got := tt.tracker.times.startToList; got.count() != 1 || got.quantile(1) < 0.29 || got.quantile(1) > 0.31 {
+		t.Errorf("%d starts, worst %v s", got.count(), got.quantile(1))
+	}
+}
+
+func TestChangerGoesThroughAllBackends(t *testing.T) {
+	c := newChanger(rand.New(rand.NewPCG(1, 1)))
+	const backends = 30
+	for i := range backends {
+		c.add(testList, serving(string(rune('A'+i)), 0))
+	}
+	last := map[string]discovery.Endpoint{}
+	kinds := map[discovery.Status]int{}
+	for round := range 4 {
+		seen := map[string]bool{}
+		for i := range backends {
+			now := time.UnixMilli(int64(1 + round*backends + i))
+			_, e := c.draw(now)
+			if seen[e.Name] {
+				t.Fatalf("round %d changes %s twice", round, e.Name)
+			}
+			if before, known := last[e.Name]; known && stateOf(before) == stateOf(e) {
+				t.Errorf("%+v did not change", e)
+			}
+			seen[e.Name], last[e.Name] = true, e
+			kinds[e.Status]++
+		}
+	}
+	for _, status := range []discovery.Status{discovery.Serving, discovery.Draining, discovery.Deleted} {
+		if kinds[status] == 0 {
+			t.Errorf("nothing became %s", status)
+		}
+	}
+}
