--- a/internal/scale/propagation/figures.go
+++ b/internal/scale/propagation/figures.go
@@ -75,6 +75,8 @@
 
 func (b *figureBuilder) load(loads []load) {
 	all := most(loads)
+	b.add("calls at all replicas, mean", "calls/s", all.allCalls, nil, 0)
+	b.add("bytes at all replicas, mean", "KB/s", all.allBytes/kilobyte, nil, 0)
 	b.add("calls at the replica with the most, mean", "calls/s", all.calls, nil, 0)
 	b.add("calls at a replica, busiest second", "calls/s", float64(all.busiestCalls), nil, 0)
 	b.add("bytes at the replica with the most, mean", "KB/s", all.bytes/kilobyte, nil, 0)
--- a/internal/scale/propagation/load.go
+++ b/internal/scale/propagation/load.go
@@ -48,6 +48,7 @@
 // replicaLoad is what one replica, or the one with the most, bore.
 type replicaLoad struct {
 	calls, bytes               float64 // a second, on the mean
+	allCalls, allBytes         float64 // the same of all replicas together
 	busiestCalls, busiestBytes int64   // in the busiest second
 	refused                    int64   // by all replicas together
 }
@@ -64,6 +65,8 @@
 		for _, r := range l.replicas {
 			calls[r.Name] += r.Calls
 			bytes[r.Name] += r.BytesIn + r.BytesOut
+			out.allCalls += float64(r.Calls) / length
+			out.allBytes += float64(r.BytesIn+r.BytesOut) / length
 			out.calls = max(out.calls, float64(calls[r.Name])/length)
 			out.bytes = max(out.bytes, float64(bytes[r.Name])/length)
 			out.busiestCalls = max(out.busiestCalls, r.BusiestCalls)
--- a/internal/scale/propagation/tracker.go
+++ b/internal/scale/propagation/tracker.go
@@ -43,7 +43,7 @@
 // endpoint has the change too.
 type tracker struct {
 	mu        sync.Mutex
-	watchers  map[string][]*watcher // that run, by list
+	watchers  map[string][]*watcher // that have started, by list
 	revisions map[string][]endpointState
 	open      int
 	accepted  int
