--- a/cmd/scale/experiments.go
+++ b/cmd/scale/experiments.go
@@ -3,6 +3,7 @@
 import (
 	"fernlanding/internal/scale"
 	"fernlanding/internal/scale/latency"
+	"fernlanding/internal/scale/propagation"
 	"fernlanding/internal/scale/reload"
 	"fernlanding/internal/scale/slopes"
 )
@@ -10,6 +11,7 @@
 // experiments are all that the tool can run, in the order in which it lists them.
 var experiments = []scale.Experiment{
 	slopes.Experiment,
+	propagation.Experiment,
 	latency.Experiment,
 	reload.Experiment,
 }
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -309,7 +309,7 @@
 	t.Helper()
 	waitUntil(t, func() bool {
 		left := make(chan int, 1)
-		p.loop.post(func() { left <- len(p.loop.reqs) + len(p.loop.timers) })
+		p.loop.post(func() { left <- len(p.loop.reqs) + p.loop.timers.Len() })
 		n := wait(t, "word of the loop", left) // before the lock, which the loop takes as well
 		p.loop.pool.mu.Lock()
 		defer p.loop.pool.mu.Unlock()
@@ -474,7 +474,7 @@
 		t.Errorf("got %s with %d bytes", resp.Status, len(body))
 	}
 	p.loop.post(func() { took <- r.GiveUp })
-	if left := time.Until(p.loop.clock.time(wait(t, "word of the loop", took))); left < 3700*time.Millisecond {
+	if left := time.Until(p.loop.clock.Time(wait(t, "word of the loop", took))); left < 3700*time.Millisecond {
 		t.Errorf("%v were left of 4 s", left)
 	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -283,9 +283,9 @@
 	// The time of a request counts from its last byte.
 	req.wait = wait - min(answerMargin, wait/marginPart)
 	req.header = passOn(r.Header)
-	req.came = f.loop.clock.now()
+	req.came = f.loop.clock.Now()
 	req.Request = logic.Request{ID: id, Class: class, Tenant: tenant, Key: rest[strings.LastIndexByte(rest, '/')+1:],
-		GiveUp: f.loop.clock.at(time.Now().Add(req.wait)), Streamed: req.rest != nil}
+		GiveUp: f.loop.clock.At(time.Now().Add(req.wait)), Streamed: req.rest != nil}
 	return req, answer{}
 }
 
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"container/heap"
 	"context"
 	"log/slog"
 	"math"
@@ -11,6 +10,7 @@
 	"time"
 
 	"fernlanding/internal/discovery"
+	"fernlanding/internal/timing"
 	"fernlanding/logic"
 )
 
@@ -21,16 +21,6 @@
 	expireAfter = 10 * time.Millisecond
 )
 
-// clock gives the module's time: microseconds that begin at the Unix time of the start and then follow the
-// monotonic clock. Unix times that discovery gives compare with it, and a step of the wall clock does not.
-type clock struct{ start time.Time }
-
-func (c clock) now() int64           { return c.at(time.Now()) }
-func (c clock) at(t time.Time) int64 { return c.start.UnixMicro() + t.Sub(c.start).Microseconds() }
-func (c clock) time(micros int64) time.Time {
-	return c.start.Add(time.Duration(micros-c.start.UnixMicro()) * time.Microsecond)
-}
-
 // request is one request that a client has handed over. The fields above answer are set before the loop
 // gets it; those below belong to the loop.
 type request struct {
@@ -51,8 +41,8 @@
 
 	over    bool
 	sends   int
-	current *attempt // the one that is out
-	time    *timer   // its end, whatever the module says
+	current *attempt           // the one that is out
+	time    *timing.Timer[due] // its end, whatever the module says
 }
 
 // answer is a final answer; without a status nobody is there to take one.
@@ -64,40 +54,17 @@
 	stream  *download // in place of a body: it is passed on as it comes
 }
 
-// timer is an entry of the loop's timers: a token of the module's, or a request's time.
-type timer struct {
-	at    int64
+// due is what a timer of the loop is for: a token of the module's, or the end of a request's time.
+type due struct {
 	token string
-	req   *request
-	place int // in the heap; -1 once it is out
-}
-
-type timerHeap []*timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
-func (h *timerHeap) Push(x any) {
-	t := x.(*timer)
-	t.place = len(*h)
-	*h = append(*h, t)
-}
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1], last.place = nil, -1
-	*h = old[:len(old)-1]
-	return last
+	req   *request // nil: the token counts
 }
 
 // loop owns the Balancer and the table of requests. All that happens comes to it through channels and is
 // told to the module in that order; it carries the module's decisions out as its logic.Host.
 type loop struct {
 	bal    *logic.Balancer
-	clock  clock
+	clock  timing.Clock
 	pool   *backends
 	zones  discovery.Zones
 	log    *slog.Logger
@@ -111,7 +78,7 @@
 
 	out      map[string]bool     // the backends that operators have taken out
 	reqs     map[string]*request // until answered and no attempt is out
-	timers   timerHeap
+	timers   timing.Queue[due]
 	unsent   []*attempt // Sends that cannot be carried out; their outcomes follow the present event
 	attempts sync.WaitGroup
 	ctx      context.Context // of all attempts
@@ -120,7 +87,7 @@
 	done     chan struct{}   // closed when the loop has ended
 }
 
-func newLoop(bal *logic.Balancer, c clock, pool *backends, z discovery.Zones, log *slog.Logger) *loop {
+func newLoop(bal *logic.Balancer, c timing.Clock, pool *backends, z discovery.Zones, log *slog.Logger) *loop {
 	return &loop{bal: bal, clock: c, pool: pool, zones: z, log: log, events: make(chan func(), 256),
 		lists: make(chan discovery.Update), asked: make(chan struct{}, 1), listed: make(chan struct{}), told: make(chan struct{}),
 		reqs: map[string]*request{}, done: make(chan struct{})}
@@ -158,8 +125,8 @@
 		}
 		l.settle()
 		l.fire()
-		if len(l.timers) > 0 {
-			alarm.Reset(time.Until(l.clock.time(l.timers[0].at)))
+		if next, ok := l.timers.Next(); ok {
+			alarm.Reset(time.Until(l.clock.Time(next)))
 		}
 	}
 }
@@ -184,12 +151,12 @@
 
 // fire plays the timers that are due.
 func (l *loop) fire() {
-	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].at <= now; {
-		t := heap.Pop(&l.timers).(*timer)
-		if t.req == nil {
-			l.bal.Timer(now, l, t.token)
+	now := l.clock.Now()
+	for t := l.timers.TakeDue(now); t != nil; t = l.timers.TakeDue(now) {
+		if t.Value.req == nil {
+			l.bal.Timer(now, l, t.Value.token)
 		} else {
-			l.expire(t.req)
+			l.expire(t.Value.req)
 		}
 		l.settle()
 	}
@@ -199,7 +166,7 @@
 func (l *loop) list(u discovery.Update) {
 	kind := logic.Delta
 	if u.List == nil {
-		l.bal.List(l.clock.now(), l, logic.Failed, nil)
+		l.bal.List(l.clock.Now(), l, logic.Failed, nil)
 		return
 	}
 	if u.List.Snapshot {
@@ -226,7 +193,7 @@
 	for id := range l.out {
 		if !out[id] {
 			l.pool.takeOut(id, false)
-			l.bal.Attach(l.clock.now(), id)
+			l.bal.Attach(l.clock.Now(), id)
 		}
 	}
 	l.out = out
@@ -234,7 +201,7 @@
 
 func (l *loop) apply(kind logic.ListKind, list *discovery.List) {
 	l.pool.apply(kind != logic.Delta, list.Endpoints)
-	l.bal.List(l.clock.now(), l, kind, l.zones.Servers(list.Endpoints))
+	l.bal.List(l.clock.Now(), l, kind, l.zones.Servers(list.Endpoints))
 	select {
 	case <-l.listed:
 	default:
@@ -257,12 +224,13 @@
 		r.GiveUp = min(r.GiveUp, l.cutoff)
 	}
 	l.reqs[r.ID] = r
-	r.time = &timer{at: r.GiveUp + expireAfter.Microseconds(), req: r}
+	expiry := r.GiveUp + expireAfter.Microseconds()
 	if r.rest != nil && l.cutoff == 0 { // its time has not begun
-		r.time.at = math.MaxInt64
+		expiry = math.MaxInt64
 	}
-	heap.Push(&l.timers, r.time)
-	l.bal.Request(l.clock.now(), l, r.Request)
+	r.time = timing.NewTimer(expiry, due{req: r})
+	l.timers.Add(r.time)
+	l.bal.Request(l.clock.Now(), l, r.Request)
 }
 
 // end gives a request its final answer, if it has none yet.
@@ -278,9 +246,7 @@
 func (l *loop) forget(r *request) {
 	if r.over && r.current == nil {
 		delete(l.reqs, r.ID)
-		if r.time.place >= 0 {
-			heap.Remove(&l.timers, r.time.place)
-		}
+		l.timers.Remove(r.time)
 	}
 }
 
@@ -290,13 +256,12 @@
 	if r.over || r.current != a {
 		return
 	}
-	a.sent, r.came = l.clock.at(at), l.clock.at(at)
-	r.GiveUp = l.clock.at(at.Add(r.wait))
+	a.sent, r.came = l.clock.At(at), l.clock.At(at)
+	r.GiveUp = l.clock.At(at.Add(r.wait))
 	if l.cutoff > 0 {
 		r.GiveUp = min(r.GiveUp, l.cutoff)
 	}
-	r.time.at = r.GiveUp + expireAfter.Microseconds()
-	heap.Fix(&l.timers, r.time.place)
+	l.timers.Move(r.time, r.GiveUp+expireAfter.Microseconds())
 	l.bal.Uploaded(a.sent, r.ID, r.GiveUp)
 }
 
@@ -315,7 +280,7 @@
 	}
 	a.began = true
 	l.end(r, answer{status: http.StatusOK, content: d.content, stream: d})
-	now := l.clock.now()
+	now := l.clock.Now()
 	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: logic.OK, Took: now - a.sent, Closed: true})
 }
 
@@ -328,7 +293,7 @@
 		return
 	}
 	l.end(r, ans)
-	l.bal.Withdrawn(l.clock.now(), l, r.ID)
+	l.bal.Withdrawn(l.clock.Now(), l, r.ID)
 	if r.current != nil {
 		r.current.stop()
 	}
@@ -345,9 +310,8 @@
 func (l *loop) hurry(cutoff, lastCall int64) {
 	l.cutoff, l.lastCall = cutoff, lastCall
 	for _, r := range l.reqs {
-		if r.time.place >= 0 && r.time.at > cutoff {
-			r.time.at = cutoff
-			heap.Fix(&l.timers, r.time.place)
+		if r.time.Due() > cutoff {
+			l.timers.Move(r.time, cutoff)
 		}
 	}
 }
@@ -373,7 +337,7 @@
 		l.end(r, answer{status: res.fault})
 		res.status = logic.Moot
 	}
-	now := l.clock.now()
+	now := l.clock.Now()
 	l.bal.Outcome(now, l, logic.Outcome{ID: r.ID, Attempt: a.number, Status: res.status, Took: now - a.sent,
 		Closed: r.over, Spent: res.spent})
 	l.forget(r)
@@ -386,14 +350,14 @@
 		l.log.Error("send for an unknown request", "id", id)
 		return
 	}
-	now := l.clock.now()
+	now := l.clock.Now()
 	until := r.GiveUp
 	if timeout != 0 {
 		until = min(until, now+timeout)
 	}
-	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.time(until), pool: l.pool}
+	a := &attempt{req: r, number: r.sends, sent: now, deadline: l.clock.Time(until), pool: l.pool}
 	if lapse != 0 {
-		a.lapse = l.clock.time(lapse)
+		a.lapse = l.clock.Time(lapse)
 	}
 	r.sends++
 	var ok bool
@@ -435,7 +399,7 @@
 
 // SetTimer implements logic.Host.
 func (l *loop) SetTimer(delay int64, token string) {
-	heap.Push(&l.timers, &timer{at: l.clock.now() + delay, token: token})
+	l.timers.Add(timing.NewTimer(l.clock.Now()+delay, due{token: token}))
 }
 
 // Watch implements logic.Host. Where the list is pushed the watch stands anyway.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 
 	"fernlanding/internal/discovery"
 	"fernlanding/internal/settings"
+	"fernlanding/internal/timing"
 	"fernlanding/logic"
 )
 
@@ -90,7 +91,7 @@
 		cfg.Log.Error("what operators say is not kept", "error", err)
 		sh = &shared{log: cfg.Log}
 	}
-	l := newLoop(bal, clock{time.Now()}, newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends),
+	l := newLoop(bal, timing.NewClock(), newBackends(cfg.Site.DialTimeout, cfg.Site.IdleClose, forBackends),
 		zones, cfg.Log)
 	l.inForce.Store(first)
 	p := &Proxy{cfg: cfg, loop: l, shared: sh, renews: make(chan string), opened: make(chan struct{}),
@@ -207,9 +208,9 @@
 	cutoff := told.Add(window)
 	lastCall := int64(0)
 	if p.front.succeeded.Load() {
-		lastCall = p.loop.clock.at(told.Add(takenLate))
+		lastCall = p.loop.clock.At(told.Add(takenLate))
 	}
-	p.loop.post(func() { p.loop.hurry(p.loop.clock.at(cutoff), lastCall) })
+	p.loop.post(func() { p.loop.hurry(p.loop.clock.At(cutoff), lastCall) })
 	if p.front.succeeded.Load() {
 		p.front.handOver(cutoff)
 		return failed
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -906,7 +906,7 @@
 		}
 		p.loop.pool.mu.Lock()
 		defer p.loop.pool.mu.Unlock()
-		got <- sizes{len(p.loop.reqs), len(p.loop.timers), len(p.loop.pool.byName), len(p.loop.zones)}
+		got <- sizes{len(p.loop.reqs), p.loop.timers.Len(), len(p.loop.pool.byName), len(p.loop.zones)}
 	})
 	if s := wait(t, "word of the loop", got); s != (sizes{backends: 1, zones: 1}) {
 		t.Errorf("left behind: %+v", s)
@@ -929,7 +929,7 @@
 		words := make(chan times, 1)
 		p.loop.post(func() {
 			soon, late := p.loop.reqs["0"], p.loop.reqs["1"]
-			words <- times{soon.time.at, soon.GiveUp + expireAfter.Microseconds(), late.time.at, p.loop.cutoff}
+			words <- times{soon.time.Due(), soon.GiveUp + expireAfter.Microseconds(), late.time.Due(), p.loop.cutoff}
 		})
 		got = wait(t, "word of the loop", words)
 		return got.cutoff > 0
--- /dev/null
+++ b/internal/timing/queue.go
@@ -0,0 +1,86 @@
+package timing
+
+import "container/heap"
+
+// outside is the position of a timer that is in no queue.
+const outside = -1
+
+// Timer is an entry of a Queue: what is due, and when on a Clock. NewTimer makes it.
+type Timer[T any] struct {
+	Value    T
+	due      int64
+	position int
+}
+
+// NewTimer returns a timer that is in no queue yet. due is in microseconds of a Clock.
+func NewTimer[T any](due int64, value T) *Timer[T] {
+	return &Timer[T]{Value: value, due: due, position: outside}
+}
+
+// Due is when the timer is due, in microseconds of a Clock.
+func (t *Timer[T]) Due() int64 { return t.due }
+
+// Queue holds timers, the next one first. A timer is in one queue at most. The zero Queue is empty and ready for use;
+// it is not safe for concurrent use.
+type Queue[T any] struct{ timers timerHeap[T] }
+
+// Len is how many timers the queue holds.
+func (q *Queue[T]) Len() int { return len(q.timers) }
+
+// Add puts a timer in that is in no queue.
+func (q *Queue[T]) Add(t *Timer[T]) { heap.Push(&q.timers, t) }
+
+// Remove takes a timer out, unless it is out already.
+func (q *Queue[T]) Remove(t *Timer[T]) {
+	if t.position != outside {
+		heap.Remove(&q.timers, t.position)
+	}
+}
+
+// Move has a timer be due at another time, unless it is out already.
+func (q *Queue[T]) Move(t *Timer[T], due int64) {
+	if t.position != outside {
+		t.due = due
+		heap.Fix(&q.timers, t.position)
+	}
+}
+
+// Next is when the next timer is due; ok is false if there is none.
+func (q *Queue[T]) Next() (due int64, ok bool) {
+	if len(q.timers) == 0 {
+		return 0, false
+	}
+	return q.timers[0].due, true
+}
+
+// TakeDue takes out the next timer that is due by now, or returns nil.
+func (q *Queue[T]) TakeDue(now int64) *Timer[T] {
+	if due, ok := q.Next(); !ok || due > now {
+		return nil
+	}
+	return heap.Pop(&q.timers).(*Timer[T])
+}
+
+// timerHeap is a heap.Interface with the next timer first.
+type timerHeap[T any] []*Timer[T]
+
+func (h timerHeap[T]) Len() int           { return len(h) }
+func (h timerHeap[T]) Less(i, j int) bool { return h[i].due < h[j].due }
+func (h timerHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+func (h *timerHeap[T]) Push(x any) {
+	t := x.(*Timer[T])
+	t.position = len(*h)
+	*h = append(*h, t)
+}
+
+func (h *timerHeap[T]) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1], last.position = nil, outside
+	*h = old[:len(old)-1]
+	return last
+}
