--- /dev/null
+++ b/internal/emulator/backend/server.go
@@ -0,0 +1,289 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"fernlanding/internal/emulator/hollow"
+	"fernlanding/logic"
+)
+
+var errProcessEnded = errors.New("the backend's process has ended")
+
+// server is one backend.
+type server struct {
+	name  string
+	cfg   *Config
+	books *books
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  Faults
+	next    Caller
+	calls   uint64        // made to the next tier
+	hung    chan struct{} // closed at the end of the hang; nil if there is none
+	process *process      // nil while it is down
+}
+
+// process is one life of a backend.
+type process struct {
+	ctx     context.Context // ends with it
+	stop    context.CancelFunc
+	started time.Time // zero: long ago
+	busy    int       // workers with a call
+	waiting []*visit  // calls without a worker, in the order of their arrival
+	load    coldLoad
+}
+
+// visit is one attempt at a backend.
+type visit struct {
+	process *process
+	call    hollow.Call
+	draws   draws
+	until   time.Time     // by when its answer is wanted
+	worker  chan struct{} // closed when it gets a worker
+}
+
+// draws are the random draws of one attempt. All are made for each, so that no draw hangs on what happened before.
+type draws struct {
+	wayThere, work, wayBack time.Duration
+	luck                    float64 // whether it meets a fault
+}
+
+func newServer(name string, cfg *Config, books *books, number uint64) *server {
+	s := &server{name: name, cfg: cfg, books: books, random: rand.New(rand.NewPCG(cfg.Seed, number))}
+	s.start(time.Time{})
+	return s
+}
+
+func (s *server) draw() draws {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return draws{
+		wayThere: s.around(s.cfg.Latency),
+		work:     s.around(s.cfg.Work),
+		wayBack:  s.around(s.cfg.Latency),
+		luck:     s.random.Float64(),
+	}
+}
+
+// around draws a time with the given mean: half of it is sure, the other half exponential.
+func (s *server) around(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(s.random.ExpFloat64()*float64(mean/2))
+}
+
+// start begins a life. The lock is held, here and in the functions below that change a server's state.
+func (s *server) start(now time.Time) {
+	p := &process{started: now}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	s.process = p
+}
+
+// crash ends the life. Calls that hang stay so until they have noticed.
+func (s *server) crash() {
+	if s.process != nil {
+		s.process.stop()
+	}
+	s.process, s.hung = nil, nil
+}
+
+func (s *server) hang() {
+	if s.hung == nil {
+		s.hung = make(chan struct{})
+	}
+}
+
+func (s *server) resume() {
+	if s.hung != nil {
+		close(s.hung)
+	}
+	s.hung = nil
+}
+
+func (s *server) setFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// serve takes a call that has arrived, of which the sender says how long it will wait, and returns its end.
+func (s *server) serve(ctx context.Context, call hollow.Call, remaining time.Duration, d draws) logic.Status {
+	now := time.Now()
+	v := &visit{call: call, draws: d, until: now.Add(remaining), worker: make(chan struct{})}
+	status := s.admit(v, now)
+	if status == logic.ConnectFailed {
+		return status
+	}
+	if status == logic.OK {
+		status = s.handle(ctx, v)
+	}
+	s.books.ended(status)
+	return status
+}
+
+// admit gives an arriving call a worker or a place in the queue, or turns it away.
+func (s *server) admit(v *visit, now time.Time) logic.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.process
+	if p == nil {
+		return logic.ConnectFailed
+	}
+	v.process = p
+	s.books.arrived(v.call.Class)
+	if s.falls(p, v, now) {
+		s.crash()
+		return logic.Reset
+	}
+	switch {
+	case p.busy < s.cfg.Workers:
+		p.busy++
+		close(v.worker)
+	case len(p.waiting) < s.cfg.Queue:
+		p.waiting = append(p.waiting, v)
+	default:
+		return logic.FullUp
+	}
+	return logic.OK
+}
+
+// falls takes an arriving call into a cold backend's load and tells whether it is too much.
+func (s *server) falls(p *process, v *visit, now time.Time) bool {
+	age := now.Sub(p.started)
+	if p.started.IsZero() || age >= s.cfg.Cold.Span {
+		return false
+	}
+	got := p.load.add(arrival{at: now, weight: float64(v.draws.work) / float64(s.cfg.Work)}, s.cfg.Cold.FallAfter)
+	warmRate := float64(s.cfg.Workers) / s.cfg.Work.Seconds()
+	load := got / s.cfg.Cold.allowance(warmRate*s.cfg.Cold.capacity(age))
+	s.books.cold(load, load > 1)
+	return load > 1
+}
+
+// handle sees an admitted call through, until it is given up or the process ends.
+func (s *server) handle(ctx context.Context, v *visit) logic.Status {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	unlink := context.AfterFunc(v.process.ctx, func() { cancel(errProcessEnded) })
+	defer unlink()
+	status := logic.Cancelled
+	if s.awaitWorker(ctx, v) {
+		status = s.run(ctx, v)
+		s.release(v.process)
+	}
+	if status == logic.Cancelled && context.Cause(ctx) == errProcessEnded {
+		return logic.Reset
+	}
+	return status
+}
+
+// awaitWorker waits for a worker; false if the context ended first.
+func (s *server) awaitWorker(ctx context.Context, v *visit) bool {
+	select {
+	case <-v.worker:
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(v.process.waiting, v); i >= 0 {
+		v.process.waiting = slices.Delete(v.process.waiting, i, i+1)
+	} else { // it has got one just now
+		v.process.release()
+	}
+	return false
+}
+
+func (s *server) release(p *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.release()
+}
+
+// release gives a worker to the call that has waited longest.
+func (p *process) release() {
+	if len(p.waiting) == 0 {
+		p.busy--
+		return
+	}
+	close(p.waiting[0].worker)
+	p.waiting = p.waiting[1:]
+}
+
+// run does a call's work. It returns Cancelled when the context ends.
+func (s *server) run(ctx context.Context, v *visit) logic.Status {
+	now := time.Now()
+	s.books.began(v.call.ID, v.call.Class, now)
+	if !sleep(ctx, s.duration(v, now)) || !s.awaitResume(ctx) {
+		return logic.Cancelled
+	}
+	next, faults := s.afterWork()
+	switch {
+	case v.draws.luck < faults.FailPart:
+		return logic.Error
+	case v.draws.luck < faults.FailPart+faults.StallPart:
+		<-ctx.Done()
+		return logic.Cancelled
+	case next == nil:
+		return logic.OK
+	}
+	return s.callNext(ctx, next, v)
+}
+
+// duration is how long a call's work takes that begins now: a cold backend is slower.
+func (s *server) duration(v *visit, now time.Time) time.Duration {
+	if v.process.started.IsZero() {
+		return v.draws.work
+	}
+	return time.Duration(float64(v.draws.work) / s.cfg.Cold.capacity(now.Sub(v.process.started)))
+}
+
+// awaitResume waits while the backend hangs; false if the context ended first.
+func (s *server) awaitResume(ctx context.Context) bool {
+	s.mu.Lock()
+	hung := s.hung
+	s.mu.Unlock()
+	if hung == nil {
+		return true
+	}
+	select {
+	case <-hung:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *server) afterWork() (Caller, Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next, s.faults
+}
+
+// callNext calls the next tier with the time that remains. The call fails unless that one is served.
+func (s *server) callNext(ctx context.Context, next Caller, v *visit) logic.Status {
+	call := v.call
+	call.ID, call.Deadline = s.nextID(), v.until
+	call.Depth++
+	result := next.Call(ctx, call)
+	switch {
+	case ctx.Err() != nil:
+		return logic.Cancelled
+	case result.Outcome == hollow.Served:
+		return logic.OK
+	}
+	return logic.Error
+}
+
+// nextID returns a new ID for a call of this backend to the next tier.
+func (s *server) nextID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.name + "/" + strconv.FormatUint(s.calls, 10)
+}
