--- a/internal/emulator/backend/backend.go
+++ b/internal/emulator/backend/backend.go
@@ -82,22 +82,17 @@
 	return t, nil
 }
 
+// timerSlack is how late the end of an attempt's context may be noticed, as with Linux timers. Time-outs would otherwise
+// often fall on one microsecond, and no seed would settle in which order proxies hear of them.
+const timerSlack = 50 * time.Microsecond
+
 // Attempt implements hollow.Upstream. An attempt that is given up on its way there never arrives.
 func (t *Tier) Attempt(ctx context.Context, name string, call hollow.Call) logic.Status {
 	s := t.servers[name]
 	if s == nil {
 		return logic.ConnectFailed
 	}
-	remaining := toldTime(call.Deadline)
-	draws := s.draw()
-	if !sleep(ctx, draws.wayThere) {
-		return logic.Cancelled
-	}
-	status := s.serve(ctx, call, remaining, draws)
-	if status == logic.Cancelled || !sleep(ctx, draws.wayBack) {
-		return logic.Cancelled
-	}
-	return status
+	return s.visit(ctx, call, s.draw())
 }
 
 // toldTime is how long a proxy says that it will wait: in whole milliseconds, as on the wire.
--- a/internal/emulator/backend/server.go
+++ b/internal/emulator/backend/server.go
@@ -52,7 +52,8 @@
 // draws are the random draws of one attempt. All are made for each, so that no draw hangs on what happened before.
 type draws struct {
 	wayThere, work, wayBack time.Duration
-	luck                    float64 // whether it meets a fault
+	slack                   time.Duration // until the end of the attempt's context is noticed
+	luck                    float64       // whether it meets a fault
 }
 
 func newServer(name string, cfg *Config, books *books, number uint64) *server {
@@ -68,6 +69,7 @@
 		wayThere: s.around(s.cfg.Latency),
 		work:     s.around(s.cfg.Work),
 		wayBack:  s.around(s.cfg.Latency),
+		slack:    time.Duration(s.random.Int64N(int64(timerSlack))),
 		luck:     s.random.Float64(),
 	}
 }
@@ -111,11 +113,38 @@
 	s.faults = f
 }
 
-// serve takes a call that has arrived, of which the sender says how long it will wait, and returns its end.
-func (s *server) serve(ctx context.Context, call hollow.Call, remaining time.Duration, d draws) logic.Status {
-	now := time.Now()
-	v := &visit{call: call, draws: d, until: now.Add(remaining), worker: make(chan struct{})}
-	status := s.admit(v, now)
+// visit sees an attempt there and back. It returns Cancelled soon after the context ends.
+func (s *server) visit(ctx context.Context, call hollow.Call, d draws) logic.Status {
+	remaining := toldTime(call.Deadline)
+	ctx, cancel := withSlack(ctx, d.slack)
+	defer cancel()
+	if !sleep(ctx, d.wayThere) {
+		return logic.Cancelled
+	}
+	v := &visit{call: call, draws: d, until: time.Now().Add(remaining), worker: make(chan struct{})}
+	status := s.serve(ctx, v)
+	if status == logic.Cancelled || !sleep(ctx, d.wayBack) {
+		return logic.Cancelled
+	}
+	return status
+}
+
+// withSlack returns a context that ends a while after its parent.
+func withSlack(parent context.Context, slack time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	unlink := context.AfterFunc(parent, func() {
+		time.Sleep(slack)
+		cancel()
+	})
+	return ctx, func() {
+		unlink()
+		cancel()
+	}
+}
+
+// serve takes a call that has arrived, and returns its end.
+func (s *server) serve(ctx context.Context, v *visit) logic.Status {
+	status := s.admit(v, time.Now())
 	if status == logic.ConnectFailed {
 		return status
 	}
