Measure what cold backends get from all proxies that call them

Draws of an attempt now come from the seed, the call and the time alone, since calls that proxies draw by themselves begin on whole microseconds and would reach the draws in any order. Its record on synctest's clock is the same each time.

--- a/internal/emulator/backend/backend.go
+++ b/internal/emulator/backend/backend.go
@@ -73,11 +73,11 @@
 		return nil, err
 	}
 	t := &Tier{cfg: cfg, servers: make(map[string]*server, len(cfg.Names)), books: newBooks(cfg.Classes)}
-	for i, name := range cfg.Names {
+	for _, name := range cfg.Names {
 		if t.servers[name] != nil {
 			return nil, fmt.Errorf("backends: name %q is given twice", name)
 		}
-		t.servers[name] = newServer(name, &t.cfg, t.books, uint64(i))
+		t.servers[name] = newServer(name, &t.cfg, t.books)
 	}
 	return t, nil
 }
@@ -92,7 +92,7 @@
 	if s == nil {
 		return logic.ConnectFailed
 	}
-	return s.visit(ctx, call, s.draw())
+	return s.visit(ctx, call, s.draw(call.ID))
 }
 
 // toldTime is how long a proxy says that it will wait: in whole milliseconds, as on the wire.
--- a/internal/emulator/backend/backend_test.go
+++ b/internal/emulator/backend/backend_test.go
@@ -348,6 +348,9 @@
 			if fell := counts.Fallen == 1; fell != c.falls || fell != (counts.ColdWorst > 1) || fell != (ends[logic.Reset] > 0) {
 				t.Errorf("%d calls at once: ends %v, counts %+v", c.calls, ends, counts)
 			}
+			if mean := counts.ColdWorst * bears / 200; math.Abs(counts.ColdWorstMean-mean) > 0.01 {
+				t.Errorf("worst load %v of the mean; want %v", counts.ColdWorstMean, mean)
+			}
 			got := attempt(tier, "later", someClass, time.Second)
 			if down := got == logic.ConnectFailed; down != c.falls {
 				t.Errorf("after %d calls at once: status %v", c.calls, got)
@@ -390,3 +393,38 @@
 		t.Errorf("two plays of one seed took %v and %v, and ended\n%v\n%v", firstTook, secondTook, first, second)
 	}
 }
+
+// Attempts that begin at one instant, and those whose time is up at one, must not make two plays differ.
+func TestAttemptsAtOneInstant(t *testing.T) {
+	const calls = 50
+	play := func() (ends [calls]logic.Status, times [calls]time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Workers = calls
+			tier := newTier(t, cfg)
+			must(t, tier.SetFaults(Faults{FailPart: 0.3, StallPart: 0.3}))
+			begin := time.Now()
+			var group sync.WaitGroup
+			for i := range calls {
+				group.Go(func() {
+					ends[i] = attempt(tier, strconv.Itoa(i), someClass, 100*millisecond)
+					times[i] = time.Since(begin)
+				})
+			}
+			group.Wait()
+		})
+		return ends, times
+	}
+	ends, times := play()
+	for range 5 {
+		if againEnds, againTimes := play(); againEnds != ends || againTimes != times {
+			t.Fatalf("two plays differ:\n%v %v\n%v %v", ends, times, againEnds, againTimes)
+		}
+	}
+	slices.Sort(times[:])
+	for i := range calls - 1 {
+		if times[i] == times[i+1] {
+			t.Errorf("two attempts ended after %v", times[i])
+		}
+	}
+}
--- a/internal/emulator/backend/cold.go
+++ b/internal/emulator/backend/cold.go
@@ -63,9 +63,12 @@
 	return l.sum
 }
 
-// allowance is how many calls of mean work a cold backend bears within FallAfter: TipMultiple times its capacity, given
-// in calls a second, and twice the standard deviation of chance, and two.
-func (c ColdStart) allowance(capacity float64) float64 {
-	expected := c.TipMultiple * capacity * c.FallAfter.Seconds()
-	return expected + 2*math.Sqrt(expected) + 2
+// expected is how many calls of mean work a cold backend is built to bear within FallAfter: TipMultiple times its
+// capacity, given in calls a second.
+func (c ColdStart) expected(capacity float64) float64 {
+	return c.TipMultiple * capacity * c.FallAfter.Seconds()
 }
+
+// withChance is the number of calls at which a backend falls that is expected to bear so many: twice the standard
+// deviation of chance is allowed for, and two more.
+func withChance(expected float64) float64 { return expected + 2*math.Sqrt(expected) + 2 }
--- a/internal/emulator/backend/counts.go
+++ b/internal/emulator/backend/counts.go
@@ -22,9 +22,10 @@
 	InFlightPeak   int
 	ForbiddenRuns  int64 // runs of a call beyond its first that its class does not allow
 
-	ColdArrived int64   // attempts that came to backends while these were cold
-	ColdWorst   float64 // the most that a cold backend got in a window, in parts of what it bears
-	Fallen      int     // backends that have fallen over while cold
+	ColdArrived   int64   // attempts that came to backends while these were cold
+	ColdWorst     float64 // the most that a cold backend got in a window, in parts of that at which it falls
+	ColdWorstMean float64 // the same in parts of TipMultiple times its capacity, with nothing allowed for chance
+	Fallen        int     // backends that have fallen over while cold
 }
 
 // books keeps the Counts of a tier.
@@ -85,13 +86,14 @@
 	}
 }
 
-// cold counts an attempt at a cold backend.
-func (b *books) cold(load float64, fell bool) {
+// cold counts an attempt at a cold backend, which falls where the load is above 1.
+func (b *books) cold(load, loadOfMean float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts.ColdArrived++
 	b.counts.ColdWorst = max(b.counts.ColdWorst, load)
-	if fell {
+	b.counts.ColdWorstMean = max(b.counts.ColdWorstMean, loadOfMean)
+	if load > 1 {
 		b.counts.Fallen++
 	}
 }
--- a/internal/emulator/backend/server.go
+++ b/internal/emulator/backend/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -17,12 +18,12 @@
 
 // server is one backend.
 type server struct {
-	name  string
-	cfg   *Config
-	books *books
+	name    string
+	cfg     *Config
+	books   *books
+	created time.Time
 
 	mu      sync.Mutex
-	random  *rand.Rand
 	faults  Faults
 	next    Caller
 	calls   uint64        // made to the next tier
@@ -49,34 +50,37 @@
 	worker  chan struct{} // closed when it gets a worker
 }
 
-// draws are the random draws of one attempt. All are made for each, so that no draw hangs on what happened before.
+// draws are the random draws of one attempt.
 type draws struct {
 	wayThere, work, wayBack time.Duration
 	slack                   time.Duration // until the end of the attempt's context is noticed
 	luck                    float64       // whether it meets a fault
 }
 
-func newServer(name string, cfg *Config, books *books, number uint64) *server {
-	s := &server{name: name, cfg: cfg, books: books, random: rand.New(rand.NewPCG(cfg.Seed, number))}
+func newServer(name string, cfg *Config, books *books) *server {
+	s := &server{name: name, cfg: cfg, books: books, created: time.Now()}
 	s.start(time.Time{})
 	return s
 }
 
-func (s *server) draw() draws {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// draw makes an attempt's draws from the seed, the call and the time alone, so that attempts that begin at one instant
+// may come in any order.
+func (s *server) draw(id string) draws {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.name + " " + id)) // never fails
+	random := rand.New(rand.NewPCG(s.cfg.Seed+uint64(time.Since(s.created)), h.Sum64()))
 	return draws{
-		wayThere: s.around(s.cfg.Latency),
-		work:     s.around(s.cfg.Work),
-		wayBack:  s.around(s.cfg.Latency),
-		slack:    time.Duration(s.random.Int64N(int64(timerSlack))),
-		luck:     s.random.Float64(),
+		wayThere: around(random, s.cfg.Latency),
+		work:     around(random, s.cfg.Work),
+		wayBack:  around(random, s.cfg.Latency),
+		slack:    time.Duration(random.Int64N(int64(timerSlack))),
+		luck:     random.Float64(),
 	}
 }
 
 // around draws a time with the given mean: half of it is sure, the other half exponential.
-func (s *server) around(mean time.Duration) time.Duration {
-	return mean/2 + time.Duration(s.random.ExpFloat64()*float64(mean/2))
+func around(random *rand.Rand, mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(random.ExpFloat64()*float64(mean/2))
 }
 
 // start begins a life. The lock is held, here and in the functions below that change a server's state.
@@ -189,8 +193,9 @@
 	}
 	got := p.load.add(arrival{at: now, weight: float64(v.draws.work) / float64(s.cfg.Work)}, s.cfg.Cold.FallAfter)
 	warmRate := float64(s.cfg.Workers) / s.cfg.Work.Seconds()
-	load := got / s.cfg.Cold.allowance(warmRate*s.cfg.Cold.capacity(age))
-	s.books.cold(load, load > 1)
+	expected := s.cfg.Cold.expected(warmRate * s.cfg.Cold.capacity(age))
+	load := got / withChance(expected)
+	s.books.cold(load, got/expected)
 	return load > 1
 }
 
--- /dev/null
+++ b/internal/scale/ramp/ramp_test.go
@@ -0,0 +1,112 @@
+package ramp
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fernlanding/internal/scale"
+)
+
+const testSeed = 1
+
+// playOnce plays one small service on a clock of its own.
+func playOnce(t *testing.T, c circumstances) (r record) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		got, err := play(t.Context(), smallSize, c, testSeed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r = *got
+		r.counts.ArrivedByClass = nil // there is but one
+	})
+	return r
+}
+
+func TestColdBackendsBearWhatTheyGet(t *testing.T) {
+	for _, c := range []circumstances{
+		{callers: 33, load: 0.6, tipMultiple: 3},
+		{callers: 33, wholeZone: true, load: 0.8, tipMultiple: 1.5},
+	} {
+		r := playOnce(t, c)
+		if k := r.counts; k.ColdWorst > 1 || k.ColdWorstMean <= 0 || k.Fallen != 0 || k.ColdArrived == 0 || k.Reset == 0 {
+			t.Errorf("%v: counts %+v", c, k)
+		}
+		if r.before.servedPart() < 0.99 || r.outage.servedPart() < 0.95 || r.cold.servedPart() < 0.99 {
+			t.Errorf("%v: served %v before, %v in the outage, %v after it", c, r.before, r.outage, r.cold)
+		}
+		if r.before.served == 0 || r.outage.served == 0 || r.cold.served == 0 {
+			t.Errorf("%v: no calls: %+v", c, r)
+		}
+	}
+}
+
+func TestSameSeedSameRecord(t *testing.T) {
+	c := circumstances{callers: 33, wholeZone: true, load: 0.6, tipMultiple: 3}
+	if first, second := playOnce(t, c), playOnce(t, c); first.before != second.before || first.outage != second.outage ||
+		first.cold != second.cold || first.counts.ColdWorst != second.counts.ColdWorst ||
+		first.counts.Arrived != second.counts.Arrived || first.counts.Served != second.counts.Served {
+		t.Errorf("two plays of one seed differ:\n%+v\n%+v", first, second)
+	}
+}
+
+// A backend that bears next to nothing falls, and the figures show it.
+func TestFallIsShown(t *testing.T) {
+	c := circumstances{callers: 33, load: 0.6, tipMultiple: 0.02}
+	r := playOnce(t, c)
+	if r.counts.Fallen != 1 || r.counts.ColdWorst <= 1 {
+		t.Errorf("counts %+v", r.counts)
+	}
+	missed := 0
+	for _, f := range figures(c, &r) {
+		if !f.Meets() {
+			missed++
+		}
+	}
+	if missed != 2 {
+		t.Errorf("%d figures miss their targets; want the worst window and the fall", missed)
+	}
+}
+
+func testEnv() scale.Env {
+	return scale.Env{Seed: testSeed, Small: true, Progress: func(string, ...any) {}, Log: slog.New(slog.DiscardHandler)}
+}
+
+func TestExperiment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result, err := Experiment.Run(t.Context(), testEnv())
+		if err != nil {
+			t.Fatal(err)
+		}
+		type name struct{ circumstances, quantity string }
+		seen := map[name]bool{}
+		for _, f := range result.Figures {
+			n := name{f.Case, f.Quantity}
+			if seen[n] || f.Case == "" || f.Unit == "" || f.Source != scale.HollowProxy || f.Samples == 0 ||
+				math.IsNaN(f.Value) || f.Value < 0 || !f.Meets() {
+				t.Errorf("figure %+v", f)
+			}
+			seen[n] = true
+		}
+		if len(result.Figures) != 6*len(cases) {
+			t.Errorf("%d figures for %d cases", len(result.Figures), len(cases))
+		}
+	})
+}
+
+func TestEndOfContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		begin := time.Now()
+		_, err := Experiment.Run(ctx, testEnv())
+		if !errors.Is(err, context.DeadlineExceeded) || time.Since(begin) > 2600*time.Millisecond {
+			t.Errorf("error %v after %v", err, time.Since(begin))
+		}
+	})
+}
