Keep hollow proxies' drawn calls at their rate, and watch a whole failure's end for longer

Drawn calls were timed from the last one's late timer: in real time 33 proxies made 2970 to 3380 calls a second in place of 3600. They now count from when the last one was due. The experiment ramp shows the load that it had; depth watches 60 s after a whole failure, since 20 s did not see the end of it in real time.

--- a/internal/emulator/hollow/loop.go
+++ b/internal/emulator/hollow/loop.go
@@ -98,7 +98,7 @@
 	attempts, stop := context.WithCancel(ctx)
 	defer stop()
 	l.ctx = attempts
-	l.drawNext()
+	l.drawNext(l.clock.now())
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for l.next(ctx, alarm) {
@@ -174,16 +174,17 @@
 			l.withdraw(t.request, Result{})
 		case drawnCall:
 			l.take(&request{call: l.drawer.call()})
-			l.drawNext()
+			l.drawNext(t.at)
 		}
 		l.settle()
 	}
 }
 
-// drawNext sets the timer of the next drawn call, if calls are drawn.
-func (l *loop) drawNext() {
+// drawNext sets the timer of the next drawn call, if calls are drawn. It counts from when the last one was due: timers
+// are late, and the rate would fall short by that.
+func (l *loop) drawNext(due int64) {
 	if l.cfg.CallsPerSecond > 0 {
-		l.timers.add(&timer{at: l.clock.now() + l.drawer.wait().Microseconds(), kind: drawnCall})
+		l.timers.add(&timer{at: due + l.drawer.wait().Microseconds(), kind: drawnCall})
 	}
 }
 
--- a/internal/scale/depth/depth.go
+++ b/internal/scale/depth/depth.go
@@ -24,23 +24,32 @@
 
 var (
 	fullSize = size{tiers: 13, backends: 4, fronts: 4, rate: 400,
-		settle: 12 * time.Second, trouble: 20 * time.Second, recovery: 20 * time.Second}
+		settle: 12 * time.Second, trouble: 20 * time.Second, recovery: 5 * time.Second, longRecovery: time.Minute}
 	smallSize = size{tiers: 13, backends: 2, fronts: 2, rate: 100,
-		settle: 2 * time.Second, trouble: 3 * time.Second, recovery: 3 * time.Second}
+		settle: 2 * time.Second, trouble: 3 * time.Second, recovery: 2 * time.Second, longRecovery: 5 * time.Second}
 )
 
 // trouble is a case of the experiment.
 type trouble struct {
 	name   string
 	faults backend.Faults
+	whole  bool // no call can be served, and it takes long until calls are let through again
 }
 
 var troubles = []trouble{
 	{name: "no trouble"},
-	{"deepest tier fails 1%", backend.Faults{FailPart: 0.01}},
-	{"deepest tier fails 10%", backend.Faults{FailPart: 0.1}},
-	{"deepest tier fails 100%", backend.Faults{FailPart: 1}},
-	{"deepest tier stalls", backend.Faults{StallPart: 1}},
+	{name: "deepest tier fails 1%", faults: backend.Faults{FailPart: 0.01}},
+	{name: "deepest tier fails 10%", faults: backend.Faults{FailPart: 0.1}},
+	{name: "deepest tier fails 100%", faults: backend.Faults{FailPart: 1}, whole: true},
+	{name: "deepest tier stalls", faults: backend.Faults{StallPart: 1}, whole: true},
+}
+
+// in is the size for a case.
+func (s size) in(t trouble) size {
+	if t.whole {
+		s.recovery = s.longRecovery
+	}
+	return s
 }
 
 func run(ctx context.Context, env scale.Env) (scale.Result, error) {
@@ -50,12 +59,13 @@
 	}
 	result := scale.Result{Notes: notes(s)}
 	for _, t := range troubles {
-		env.Progress("%s: %v", t.name, s.end())
-		r, err := play(ctx, s, t.faults, env.Seed)
+		sized := s.in(t)
+		env.Progress("%s: %v", t.name, sized.end())
+		r, err := play(ctx, sized, t.faults, env.Seed)
 		if err != nil {
 			return result, fmt.Errorf("%s: %w", t.name, err)
 		}
-		sum := summarize(s, r)
+		sum := summarize(sized, r)
 		result.Figures = append(result.Figures, figures(t, sum)...)
 		if !sum.recovered {
 			result.Notes = append(result.Notes, fmt.Sprintf("%s: not recovered within the %v that were watched.", t.name, sum.recovery))
@@ -71,8 +81,9 @@
 			s.tiers, s.backends, s.fronts, s.rate, 100*safePart, 100*keyedPart),
 		fmt.Sprintf("A backend works %v for a call on the mean, the network takes %v each way, and it has %d workers and %d places "+
 			"in its queue; calls have a second, of which what remains is told to the next tier.", work, latency, workers, queue),
-		fmt.Sprintf("%v without trouble, %v with it, %v after it; the parts and attempts are those of the time of the trouble.",
-			s.settle, s.trouble, s.recovery),
+		fmt.Sprintf("%v without trouble, %v with it, %v after it or %v where no call could be served; the parts and attempts are those of the "+
+			"time of the trouble.", s.settle, s.trouble, s.recovery, s.longRecovery),
+		"In real time a short wait lasts up to a millisecond longer, so that one step takes longer than its means say.",
 		"Retry budgets are the module's own: at each proxy, 5 and a tenth of the calls that it took, over 10 s. The target is " +
 			"1.1^12, what that tenth alone makes of 12 steps; a proxy may use the budget of 10 s in one.",
 	}
--- a/internal/scale/depth/play.go
+++ b/internal/scale/depth/play.go
@@ -22,6 +22,8 @@
 	settle   time.Duration // before the trouble
 	trouble  time.Duration
 	recovery time.Duration // watched after it
+
+	longRecovery time.Duration // the same where the trouble was whole
 }
 
 func (s size) end() time.Duration { return s.settle + s.trouble + s.recovery }
--- a/internal/scale/ramp/ramp.go
+++ b/internal/scale/ramp/ramp.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			return result, fmt.Errorf("%v: %w", c, err)
 		}
-		result.Figures = append(result.Figures, figures(c, r)...)
+		result.Figures = append(result.Figures, figures(s, c, r)...)
 	}
 	return result, nil
 }
@@ -158,12 +158,15 @@
 }
 
 // figures are those of one case.
-func figures(c circumstances, r *record) []scale.Figure {
+func figures(s size, c circumstances, r *record) []scale.Figure {
 	var list []scale.Figure
 	add := func(quantity, unit string, value float64, target *float64, samples int64) {
 		list = append(list, scale.Figure{Case: c.String(), Quantity: quantity, Unit: unit, Value: value, Target: target,
 			Source: scale.HollowProxy, Samples: int(samples)})
 	}
+	calls := r.before.served + r.before.others
+	capacity := warmRate * float64(s.backends) * s.before.Seconds()
+	add("calls before, over the capacity of all", "part", float64(calls)/capacity, nil, calls)
 	cold := r.counts.ColdArrived
 	add("worst window of a cold backend over what it bears", "part", r.counts.ColdWorst, scale.Target(1), cold)
 	add("the same with nothing allowed for chance", "part", r.counts.ColdWorstMean, nil, cold)
--- a/internal/scale/ramp/ramp_test.go
+++ b/internal/scale/ramp/ramp_test.go
@@ -40,6 +40,9 @@
 		if r.before.servedPart() < 0.99 || r.outage.servedPart() < 0.95 || r.cold.servedPart() < 0.99 {
 			t.Errorf("%v: served %v before, %v in the outage, %v after it", c, r.before, r.outage, r.cold)
 		}
+		if load := figures(smallSize, c, &r)[0].Value; math.Abs(load-c.load) > 0.05 {
+			t.Errorf("%v: the load was %.2f", c, load)
+		}
 		if r.before.served == 0 || r.outage.served == 0 || r.cold.served == 0 {
 			t.Errorf("%v: no calls: %+v", c, r)
 		}
@@ -63,7 +66,7 @@
 		t.Errorf("counts %+v", r.counts)
 	}
 	missed := 0
-	for _, f := range figures(c, &r) {
+	for _, f := range figures(smallSize, c, &r) {
 		if !f.Meets() {
 			missed++
 		}
@@ -93,7 +96,7 @@
 			}
 			seen[n] = true
 		}
-		if len(result.Figures) != 6*len(cases) {
+		if len(result.Figures) != 7*len(cases) {
 			t.Errorf("%d figures for %d cases", len(result.Figures), len(cases))
 		}
 	})
