--- a/cmd/scale/experiments.go
+++ b/cmd/scale/experiments.go
@@ -2,8 +2,10 @@
 
 import (
 	"fernlanding/internal/scale"
+	"fernlanding/internal/scale/depth"
 	"fernlanding/internal/scale/latency"
 	"fernlanding/internal/scale/propagation"
+	"fernlanding/internal/scale/ramp"
 	"fernlanding/internal/scale/reload"
 	"fernlanding/internal/scale/slopes"
 )
@@ -12,6 +14,8 @@
 var experiments = []scale.Experiment{
 	slopes.Experiment,
 	propagation.Experiment,
-	latency.Experiment,
 	reload.Experiment,
+	depth.Experiment,
+	latency.Experiment,
+	ramp.Experiment,
 }
--- a/internal/emulator/hollow/loop.go
+++ b/internal/emulator/hollow/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fernlanding/internal/discovery"
+	"fernlanding/internal/timing"
 	"fernlanding/logic"
 )
 
@@ -17,16 +18,6 @@
 	eventBuffer = 16 // events that wait for the loop without blocking who has them
 )
 
-// clock gives the module's time: microseconds that begin at the Unix time of the start and then follow the monotonic
-// clock.
-type clock struct{ start time.Time }
-
-func (c clock) now() int64           { return c.at(time.Now()) }
-func (c clock) at(t time.Time) int64 { return c.start.UnixMicro() + t.Sub(c.start).Microseconds() }
-func (c clock) time(micros int64) time.Time {
-	return c.start.Add(time.Duration(micros-c.start.UnixMicro()) * time.Microsecond)
-}
-
 type eventKind uint8
 
 const (
@@ -53,7 +44,7 @@
 	sends    int // that the module asked for
 	attempts int // that were carried out
 	current  *attempt
-	expiry   *timer
+	expiry   *timing.Timer[due]
 }
 
 // attempt is one send of a request.
@@ -70,7 +61,7 @@
 	cfg      Config
 	balancer *logic.Balancer
 	zones    discovery.Zones
-	clock    clock
+	clock    timing.Clock
 	drawer   *drawer
 
 	events        chan event
@@ -79,14 +70,14 @@
 	done          chan struct{} // closed when the loop has ended
 
 	requests map[string]*request // until answered and no attempt is out
-	timers   timerHeap
+	timers   timing.Queue[due]
 	unsent   []*attempt // that cannot be carried out; their outcomes follow the present event
 	attempts sync.WaitGroup
 	ctx      context.Context // of all attempts
 }
 
 func newLoop(cfg Config, balancer *logic.Balancer) *loop {
-	return &loop{cfg: cfg, balancer: balancer, zones: discovery.NewZones(cfg.Zones), clock: clock{time.Now()},
+	return &loop{cfg: cfg, balancer: balancer, zones: discovery.NewZones(cfg.Zones), clock: timing.NewClock(),
 		drawer: newDrawer(cfg), events: make(chan event, eventBuffer), lists: make(chan discovery.Update),
 		watchRequests: make(chan struct{}, 1), done: make(chan struct{}), requests: map[string]*request{}}
 }
@@ -98,14 +89,14 @@
 	attempts, stop := context.WithCancel(ctx)
 	defer stop()
 	l.ctx = attempts
-	l.drawNext()
+	l.drawNext(l.clock.Now())
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for l.next(ctx, alarm) {
 		l.settle()
 		l.fire()
-		if len(l.timers) > 0 {
-			alarm.Reset(time.Until(l.clock.time(l.timers[0].at)))
+		if next, ok := l.timers.Next(); ok {
+			alarm.Reset(time.Until(l.clock.Time(next)))
 		}
 	}
 }
@@ -165,32 +156,33 @@
 
 // fire plays the timers that are due.
 func (l *loop) fire() {
-	now := l.clock.now()
-	for t := l.timers.due(now); t != nil; t = l.timers.due(now) {
-		switch t.kind {
+	now := l.clock.Now()
+	for t := l.timers.TakeDue(now); t != nil; t = l.timers.TakeDue(now) {
+		switch t.Value.kind {
 		case moduleTimer:
-			l.balancer.Timer(now, l, t.token)
+			l.balancer.Timer(now, l, t.Value.token)
 		case requestExpiry:
-			l.withdraw(t.request, Result{})
+			l.withdraw(t.Value.request, Result{})
 		case drawnCall:
 			l.take(&request{call: l.drawer.call()})
-			l.drawNext()
+			l.drawNext(t.Due())
 		}
 		l.settle()
 	}
 }
 
-// drawNext sets the timer of the next drawn call, if calls are drawn.
-func (l *loop) drawNext() {
+// drawNext sets the timer of the next drawn call, if calls are drawn. It counts from when the last one was due: timers
+// are late, and the rate would fall short by that.
+func (l *loop) drawNext(last int64) {
 	if l.cfg.CallsPerSecond > 0 {
-		l.timers.add(&timer{at: l.clock.now() + l.drawer.wait().Microseconds(), kind: drawnCall})
+		l.timers.Add(timing.NewTimer(last+l.drawer.wait().Microseconds(), due{kind: drawnCall}))
 	}
 }
 
 // list tells the module what a call to discovery brought.
 func (l *loop) list(update discovery.Update) {
 	if update.List == nil {
-		l.balancer.List(l.clock.now(), l, logic.Failed, nil)
+		l.balancer.List(l.clock.Now(), l, logic.Failed, nil)
 		return
 	}
 	kind := logic.Delta
@@ -204,7 +196,7 @@
 }
 
 func (l *loop) apply(kind logic.ListKind, list *discovery.List) {
-	l.balancer.List(l.clock.now(), l, kind, l.zones.Servers(list.Endpoints))
+	l.balancer.List(l.clock.Now(), l, kind, l.zones.Servers(list.Endpoints))
 }
 
 // take hands a request to the module. It has until the request's deadline to end it.
@@ -213,18 +205,18 @@
 		l.end(r, Result{})
 		return
 	}
-	now := l.clock.now()
+	now := l.clock.Now()
 	r.giveUp = l.deadline(now, r.call)
 	l.requests[r.call.ID] = r
-	r.expiry = &timer{at: r.giveUp + expireAfter.Microseconds(), kind: requestExpiry, request: r}
-	l.timers.add(r.expiry)
+	r.expiry = timing.NewTimer(r.giveUp+expireAfter.Microseconds(), due{kind: requestExpiry, request: r})
+	l.timers.Add(r.expiry)
 	l.balancer.Request(now, l, logic.Request{ID: r.call.ID, Class: r.call.Class, Tenant: r.call.Tenant, Key: r.call.Key,
 		GiveUp: r.giveUp})
 }
 
 func (l *loop) deadline(now int64, call Call) int64 {
 	if !call.Deadline.IsZero() {
-		return l.clock.at(call.Deadline)
+		return l.clock.At(call.Deadline)
 	}
 	if classes := l.cfg.Settings.Classes; call.Class >= 0 && call.Class < len(classes) {
 		return now + classes[call.Class].Deadline
@@ -253,7 +245,7 @@
 		return
 	}
 	delete(l.requests, r.call.ID)
-	l.timers.remove(r.expiry)
+	l.timers.Remove(r.expiry)
 }
 
 // withdraw ends a request that nobody waits for any more, and its attempt.
@@ -262,7 +254,7 @@
 		return
 	}
 	l.end(r, result)
-	l.balancer.Withdrawn(l.clock.now(), l, r.call.ID)
+	l.balancer.Withdrawn(l.clock.Now(), l, r.call.ID)
 	if r.current != nil {
 		r.current.stop()
 	}
@@ -277,7 +269,7 @@
 	if status == logic.OK {
 		l.end(r, Result{Outcome: Served})
 	}
-	now := l.clock.now()
+	now := l.clock.Now()
 	l.balancer.Outcome(now, l, logic.Outcome{ID: r.call.ID, Attempt: a.number, Status: status, Took: now - a.sent,
 		Closed: r.over})
 	l.forget(r)
@@ -290,7 +282,7 @@
 	if r == nil { // the module knows only requests of the table
 		panic("hollow proxy: send for the unknown request " + strconv.Quote(id))
 	}
-	now := l.clock.now()
+	now := l.clock.Now()
 	until := r.giveUp
 	if timeout != 0 {
 		until = min(until, now+timeout)
@@ -303,7 +295,7 @@
 	}
 	r.current = a
 	r.attempts++
-	l.start(a, server, l.clock.time(until))
+	l.start(a, server, l.clock.Time(until))
 }
 
 // start carries an attempt out.
@@ -338,7 +330,7 @@
 
 // SetTimer implements logic.Host.
 func (l *loop) SetTimer(delay int64, token string) {
-	l.timers.add(&timer{at: l.clock.now() + delay, kind: moduleTimer, token: token})
+	l.timers.Add(timing.NewTimer(l.clock.Now()+delay, due{kind: moduleTimer, token: token}))
 }
 
 // Watch implements logic.Host. Where the list is pushed the watch stands anyway.
