Measure slopes in rounds over all sizes, and name the commit as the run began

The first whole run took the sizes one after the other, and the processor time of a call rose from 113 to 215 µs over the pushed sizes and stayed there for the asked ones: the machine's speed, not the list's length. The proxies of all sizes now live side by side and are measured in turn, up and down. A result's commit is that of the run's begin; latency says what became of the first call that was not served. The memory of a run is looked at every 0.5 s, by one file for each process.

Tests of these packages pass with -race.

--- a/cmd/scale/run.go
+++ b/cmd/scale/run.go
@@ -46,6 +46,7 @@
 		return err
 	}
 	defer os.RemoveAll(env.TempDir)
+	commits := findSources(env.ProxyProgram)
 	started := time.Now()
 	progress := newProgress(a.errors, started)
 	env.Progress = progress.show
@@ -55,7 +56,7 @@
 		return fmt.Errorf("%s: %w", experiment.Name, err)
 	}
 	result.Experiment, result.Started, result.Took = experiment.Name, started, time.Since(started)
-	result.Seed, result.Small, result.Commit = c.Seed, c.Small, sourceOf(env.ProxyProgram, result)
+	result.Seed, result.Small, result.Commit = c.Seed, c.Small, commits.of(result)
 	result.Machine = machine(env.Cores)
 	return c.keep(a, result)
 }
--- a/cmd/scale/source.go
+++ b/cmd/scale/source.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
 
 	"fernlanding/internal/scale"
 )
@@ -49,26 +50,48 @@
 	return err == nil && info.Mode().IsRegular() && info.Mode()&anyone != 0
 }
 
-// sourceOf names the commit of what was measured: of the proxy's program if a real proxy was, else of this tool. Where
-// the program bears no stamp, as after go run or in a linked worktree, it is the one of the working folder.
-func sourceOf(program string, result scale.Result) string {
-	var info *debug.BuildInfo
-	isReal := func(f scale.Figure) bool { return f.Source == scale.RealProxy }
-	if program != "" && slices.ContainsFunc(result.Figures, isReal) {
-		info, _ = buildinfo.ReadFile(program) // nil for what is no program of Go
-	} else {
-		info, _ = debug.ReadBuildInfo()
+// sources are the commits of what a run can measure, as they are when it begins.
+type sources struct {
+	proxy string // of the real proxy's program
+	tool  string
+}
+
+// findSources reads the stamps of the go command in both programs. Where one bears none, as after go run or in a linked
+// worktree, its commit is that of the working folder.
+func findSources(program string) sources {
+	working := sync.OnceValue(workingCommit)
+	own, _ := debug.ReadBuildInfo()
+	found := sources{tool: stampedCommit(own)}
+	if found.tool == "" {
+		found.tool = working()
 	}
-	if info != nil {
-		if commit := stampedCommit(info); commit != "" {
-			return commit
-		}
+	if program == "" {
+		return found
+	}
+	info, err := buildinfo.ReadFile(program)
+	if err != nil { // no program of Go
+		return found
+	}
+	if found.proxy = stampedCommit(info); found.proxy == "" {
+		found.proxy = working()
 	}
-	return workingCommit()
+	return found
+}
+
+// of names the commit of what a result was measured on.
+func (s sources) of(result scale.Result) string {
+	isReal := func(f scale.Figure) bool { return f.Source == scale.RealProxy }
+	if slices.ContainsFunc(result.Figures, isReal) {
+		return s.proxy
+	}
+	return s.tool
 }
 
 // stampedCommit reads the commit that the go command has put in a program; empty if there is none.
 func stampedCommit(info *debug.BuildInfo) string {
+	if info == nil {
+		return ""
+	}
 	commit, changed := "", ""
 	for _, setting := range info.Settings {
 		switch {
--- a/internal/scale/budget.go
+++ b/internal/scale/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -13,7 +12,7 @@
 
 const (
 	memoryPart      = 2 // a run may have one part in so many of the machine's memory
-	memoryLookEvery = 200 * time.Millisecond
+	memoryLookEvery = 500 * time.Millisecond
 )
 
 // LimitError says that a run has passed one of its limits.
@@ -110,14 +109,14 @@
 	}
 	total := own
 	for _, p := range b.running() {
-		usage, err := p.Usage()
-		if errors.Is(err, ErrEnded) { // between the look at the list and this one
+		resident, err := residentMemory(p.PID())
+		if gone(err) { // between the look at the list and this one
 			continue
 		}
 		if err != nil {
 			return 0, err
 		}
-		total += usage.Resident
+		total += resident
 	}
 	return total, nil
 }
--- a/internal/scale/latency/latency.go
+++ b/internal/scale/latency/latency.go
@@ -82,8 +82,11 @@
 			return result, fmt.Errorf("%s: %w", s.name(), err)
 		}
 		result.Figures = append(result.Figures, figuresOf(s, measured)...)
+		if failure := measured.through.failure; failure != nil {
+			result.Notes = append(result.Notes, fmt.Sprintf("%s: the first call not served: %v.", s.name(), failure))
+		}
 	}
-	result.Notes = notes(p, cores, env.Cores)
+	result.Notes = append(notes(p, cores, env.Cores), result.Notes...)
 	return result, nil
 }
 
--- a/internal/scale/slopes/figures.go
+++ b/internal/scale/slopes/figures.go
@@ -13,42 +13,44 @@
 	mostControlBPS = 5_000  // bytes a second
 )
 
-// quantity is one of the figures of a point.
+// quantity says how a metric is shown.
 type quantity struct {
+	metric                metric
 	situation, name, unit string
-	of                    func(point) float64
 	target                *float64
 }
 
 func quantities() []quantity {
+	memory, cpu, bytes := scale.Target(mostControlMB), scale.Target(mostControlCPU), scale.Target(mostControlBPS)
 	return []quantity{
-		{"idle", "memory", "MB", func(p point) float64 { return p.idleMB }, scale.Target(mostControlMB)},
-		{"idle", "processor time", "µs/s", func(p point) float64 { return p.idleCPUUs }, scale.Target(mostControlCPU)},
-		{"idle", "bytes of discovery", "B/s", func(p point) float64 { return p.idleBytes }, scale.Target(mostControlBPS)},
-		{"in use", "memory", "MB", func(p point) float64 { return p.useMB }, scale.Target(mostControlMB)},
-		{"in use", "processor time, calls included", "µs/s", func(p point) float64 { return p.useCPUMs * 1000 }, nil},
-		{"in use", "bytes of discovery", "B/s", func(p point) float64 { return p.useBytes }, scale.Target(mostControlBPS)},
-		{"in use", "processor time of a call", "µs", func(p point) float64 { return p.callCPUUs }, nil},
-		{"in use", "processor time of a change", "µs", func(p point) float64 { return p.useChangeCPUUs }, nil},
-		{"change", "processor time", "µs", func(p point) float64 { return p.changeCPUUs }, nil},
-		{"change", "bytes of discovery", "B", func(p point) float64 { return p.changeBytes }, nil},
-		{"whole list", "processor time", "µs", func(p point) float64 { return p.wholeCPUUs }, nil},
-		{"whole list", "bytes of discovery", "B", func(p point) float64 { return p.wholeBytes }, nil},
-		{"restart", "time to ready", "ms", func(p point) float64 { return p.restartMs }, nil},
-		{"restart", "processor time", "ms", func(p point) float64 { return p.restartCPUMs }, nil},
-		{"restart", "bytes of discovery", "kB", func(p point) float64 { return p.restartKB }, nil},
+		{idleMemory, "idle", "memory", "MB", memory},
+		{idleCPU, "idle", "processor time", "µs/s", cpu},
+		{idleBytes, "idle", "bytes of discovery", "B/s", bytes},
+		{useMemory, "in use", "memory", "MB", memory},
+		{useCPU, "in use", "processor time, calls included", "µs/s", nil},
+		{useBytes, "in use", "bytes of discovery", "B/s", bytes},
+		{callCPU, "in use", "processor time of a call", "µs", nil},
+		{useChangeCPU, "in use", "processor time of a change", "µs", nil},
+		{changeCPU, "change", "processor time", "µs", nil},
+		{changeBytes, "change", "bytes of discovery", "B", nil},
+		{wholeCPU, "whole list", "processor time", "µs", nil},
+		{wholeBytes, "whole list", "bytes of discovery", "B", nil},
+		{restartTime, "restart", "time to ready", "ms", nil},
+		{restartCPU, "restart", "processor time", "ms", nil},
+		{restartBytes, "restart", "bytes of discovery", "kB", nil},
 	}
 }
 
 // figuresOf gives each quantity at each size, and the line through these.
-func figuresOf(m mode, points []point) ([]scale.Figure, error) {
+func figuresOf(m mode, points []*point) ([]scale.Figure, error) {
 	var figures []scale.Figure
 	for _, q := range quantities() {
 		sizes, values := make([]float64, len(points)), make([]float64, len(points))
 		for i, p := range points {
-			sizes[i], values[i] = float64(p.size), q.of(p)
+			sizes[i], values[i] = float64(p.size), p.value(q.metric)
 			figures = append(figures, scale.Figure{Case: fmt.Sprintf("%s, %s, %d listed", m.name, q.situation, p.size),
-				Quantity: q.name, Unit: q.unit, Value: values[i], Target: q.target, Source: scale.RealProxy})
+				Quantity: q.name, Unit: q.unit, Value: values[i], Target: q.target, Source: scale.RealProxy,
+				Samples: len(p.samples[q.metric])})
 		}
 		line, err := scale.Fit(sizes, values)
 		if err != nil {
--- a/internal/scale/slopes/subject.go
+++ b/internal/scale/slopes/subject.go
@@ -37,10 +37,13 @@
 	proxy     *scale.Proxy
 	taken     *watermark
 	random    *rand.Rand
+	idle      cost  // of a while in which nothing happened
+	point     point // what was measured of it
 }
 
 func newSubject(env scale.Env, p plan, m mode, size int, cores []int) (*subject, error) {
-	s := &subject{env: env, plan: p, taken: newWatermark(), random: rand.New(rand.NewPCG(env.Seed, uint64(size)))}
+	s := &subject{env: env, plan: p, taken: newWatermark(), random: rand.New(rand.NewPCG(env.Seed, uint64(size))),
+		point: point{size: size}}
 	zone := scale.DefaultZones()[0]
 	var err error
 	if s.backend, err = traffic.StartBackend(nil, env.Log); err != nil {
@@ -55,7 +58,7 @@
 		s.backend.Close()
 		return nil, err
 	}
-	if err := s.listen(m, cores, registry.Location{Name: "proxy-1", Zone: zone, Region: region}); err != nil {
+	if err := s.listen(m, cores, registry.Location{Name: fmt.Sprintf("proxy-%d", size), Zone: zone, Region: region}); err != nil {
 		s.close()
 		return nil, err
 	}
@@ -102,20 +105,35 @@
 	return c
 }
 
+// mark is the beginning of a measured while.
+type mark struct {
+	at    time.Time
+	usage scale.Usage
+}
+
+func (s *subject) begin() (mark, error) {
+	usage, err := s.proxy.Usage()
+	s.discoveryBytes()
+	return mark{at: time.Now(), usage: usage}, err
+}
+
+// since gives what the proxy has used since the last call of begin.
+func (s *subject) since(m mark) (cost, error) {
+	took := time.Since(m.at)
+	usage, err := s.proxy.Usage()
+	return cost{took: took, cpu: usage.Minus(m.usage).CPU, bytes: s.discoveryBytes()}, err
+}
+
 // during measures what the proxy uses while work is done.
 func (s *subject) during(work func() error) (cost, error) {
-	before, err := s.proxy.Usage()
+	m, err := s.begin()
 	if err != nil {
 		return cost{}, err
 	}
-	s.discoveryBytes()
-	began := time.Now()
 	if err := work(); err != nil {
 		return cost{}, err
 	}
-	took := time.Since(began)
-	after, err := s.proxy.Usage()
-	return cost{took: took, cpu: after.Minus(before).CPU, bytes: s.discoveryBytes()}, err
+	return s.since(m)
 }
 
 // discoveryBytes gives the bytes between the proxy and discovery since the last call of it.
--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -53,9 +53,19 @@
 		ReadBytes: io["rchar"], WrittenBytes: io["wchar"], ReadCalls: io["syscr"], WriteCalls: io["syscw"]}, nil
 }
 
+// residentMemory reads one figure only, since it is looked at often and for many processes.
 func residentMemory(pid int) (int64, error) {
-	status, err := procFields(pid, "status")
-	return status["VmRSS"] << 10, err
+	data, err := os.ReadFile(procFile(pid, "statm"))
+	if err != nil {
+		return 0, err
+	}
+	words := strings.Fields(string(data))
+	const residentPages = 1 // its place in the line
+	if len(words) <= residentPages {
+		return 0, fmt.Errorf("memory of process %d: unknown form %q", pid, data)
+	}
+	pages, err := strconv.ParseInt(words[residentPages], 10, 64)
+	return pages * int64(os.Getpagesize()), err
 }
 
 // OwnCPU is the processor time that the tool's own process has used.
@@ -82,17 +92,20 @@
 
 // procFields reads a file of /proc that has "name: number" on each line; other lines are left out.
 func procFields(pid int, file string) (map[string]int64, error) {
-	folder := "self"
-	if pid != selfPID {
-		folder = strconv.Itoa(pid)
-	}
-	data, err := os.ReadFile("/proc/" + folder + "/" + file)
+	data, err := os.ReadFile(procFile(pid, file))
 	if err != nil {
 		return nil, err
 	}
 	return parseFields(string(data)), nil
 }
 
+func procFile(pid int, file string) string {
+	if pid == selfPID {
+		return "/proc/self/" + file
+	}
+	return "/proc/" + strconv.Itoa(pid) + "/" + file
+}
+
 func parseFields(text string) map[string]int64 {
 	fields := map[string]int64{}
 	for line := range strings.Lines(text) {
