--- a/internal/scale/latency/figures.go
+++ b/internal/scale/latency/figures.go
@@ -1,6 +1,7 @@
 package latency
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -73,6 +74,14 @@
 	return append(figures, each...)
 }
 
+// multiple gives what as many proxies as the chain has would add if each added what one alone did.
+func (s stage) multiple(one *measurement) scale.Figure {
+	added := one.through.calls.ValueAtPercentile(targetAt) - one.direct.calls.ValueAtPercentile(targetAt)
+	return scale.Figure{Case: s.name(), Quantity: fmt.Sprintf("%d times what one proxy adds, p%d", s.depth, targetAt),
+		Unit: "ms", Value: inMs(added) * float64(s.depth), Source: scale.RealProxy,
+		Samples: int(one.through.calls.TotalCount())}
+}
+
 // setTarget puts the target, as many times as there are proxies, beside the percentile that it is for.
 func (s stage) setTarget(figures []scale.Figure) {
 	for i, p := range percentiles() {
--- a/internal/scale/latency/latency.go
+++ b/internal/scale/latency/latency.go
@@ -56,7 +56,7 @@
 
 func smallPlan() plan {
 	return plan{block: 200 * time.Millisecond, warmUp: 100 * time.Millisecond, listed: 5, stages: []stage{
-		{1, 100, 2}, {3, 50, 2},
+		{1, 50, 2}, {3, 50, 2},
 	}}
 }
 
@@ -75,6 +75,7 @@
 			err = undoErr
 		}
 	}()
+	alone := map[float64]*measurement{} // one proxy, by rate
 	for _, s := range p.stages {
 		env.Progress("%s", s.name())
 		measured, err := perform(ctx, env, p, s, cores)
@@ -82,6 +83,11 @@
 			return result, fmt.Errorf("%s: %w", s.name(), err)
 		}
 		result.Figures = append(result.Figures, figuresOf(s, measured)...)
+		if s.depth == 1 {
+			alone[s.rate] = measured
+		} else if one := alone[s.rate]; one != nil {
+			result.Figures = append(result.Figures, s.multiple(one))
+		}
 		if failure := measured.through.failure; failure != nil {
 			result.Notes = append(result.Notes, fmt.Sprintf("%s: the first call not served: %v.", s.name(), failure))
 		}
--- a/internal/scale/latency/latency_test.go
+++ b/internal/scale/latency/latency_test.go
@@ -129,6 +129,9 @@
 			t.Errorf("got %+v, want %+v", got, want)
 		}
 	}
+	if got := (stage{depth: 13, rate: 10}).multiple(m); math.Abs(got.Value-13*2.99) > 0.1 || got.Samples != 1000 {
+		t.Errorf("13 times as much: got %+v", got)
+	}
 	unserved := newTimes()
 	unserved.record(time.Unix(0, 0), time.Unix(0, 0), time.Unix(1, 0), errLost)
 	if err := unserved.check(); !errors.Is(err, errLost) {
