--- a/cmd/scale/main_test.go
+++ b/cmd/scale/main_test.go
@@ -178,6 +178,7 @@
 	r := &run{t: t, meet: meet, folder: folder, command: exec.Command(os.Args[0], args...)}
 	r.command.Dir = folder
 	r.command.Env = append(os.Environ(), roleVariable+"="+commandRole, meetVariable+"="+meet.Addr().String(),
+		"TMPDIR="+t.TempDir(),      // a command that is killed leaves its folder behind
 		"GORACE=atexit_sleep_ms=0") // the race detector would have each command wait a second at its end
 	r.command.Env = append(r.command.Env, env...)
 	r.command.Stdout, r.command.Stderr = &r.out, &r.errors
