--- a/internal/emulator/backend/backend.go
+++ b/internal/emulator/backend/backend.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fernlanding/internal/emulator/hollow"
+	"fernlanding/internal/timing"
 	"fernlanding/logic"
 )
 
@@ -101,19 +102,7 @@
 }
 
 // sleep waits, and returns false at once when the context ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func sleep(ctx context.Context, d time.Duration) bool { return timing.Wait(ctx, d) == nil }
 
 // Connect gives a backend its proxy of the next tier. Without one it answers by itself.
 func (t *Tier) Connect(name string, next Caller) error {
--- a/internal/scale/depth/depth_test.go
+++ b/internal/scale/depth/depth_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"math"
 	"reflect"
 	"testing"
@@ -13,6 +12,7 @@
 	"fernlanding/internal/emulator/backend"
 	"fernlanding/internal/emulator/hollow"
 	"fernlanding/internal/scale"
+	"fernlanding/internal/scale/scaletest"
 )
 
 const testSeed = 1
@@ -112,28 +112,15 @@
 	}
 }
 
-func testEnv() scale.Env {
-	return scale.Env{Seed: testSeed, Small: true, Progress: func(string, ...any) {}, Log: slog.New(slog.DiscardHandler)}
-}
-
 func TestExperiment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		result, err := Experiment.Run(t.Context(), testEnv())
+		result, err := Experiment.Run(t.Context(), scaletest.EnvInMemory(testSeed))
 		if err != nil {
 			t.Fatal(err)
 		}
-		type name struct{ circumstances, quantity string }
-		seen := map[name]bool{}
-		for _, f := range result.Figures {
-			n := name{f.Case, f.Quantity}
-			if seen[n] || f.Case == "" || f.Unit == "" || f.Source != scale.HollowProxy || f.Samples == 0 ||
-				math.IsNaN(f.Value) || f.Value < 0 {
-				t.Errorf("figure %+v", f)
-			}
-			seen[n] = true
-		}
+		seen := scaletest.CheckFigures(t, result.Figures, scale.HollowProxy)
 		for _, c := range troubles {
-			if !seen[name{c.name, "attempts at tier 13 for a call"}] {
+			if !seen[scaletest.FigureName{Case: c.name, Quantity: "attempts at tier 13 for a call"}] {
 				t.Errorf("no figure of tier 13 in the case %q", c.name)
 			}
 		}
@@ -145,7 +132,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
 		defer cancel()
 		begin := time.Now()
-		_, err := Experiment.Run(ctx, testEnv())
+		_, err := Experiment.Run(ctx, scaletest.EnvInMemory(testSeed))
 		if !errors.Is(err, context.DeadlineExceeded) || time.Since(begin) > 2600*time.Millisecond {
 			t.Errorf("error %v after %v", err, time.Since(begin))
 		}
--- a/internal/scale/propagation/changes.go
+++ b/internal/scale/propagation/changes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fernlanding/internal/discovery"
+	"fernlanding/internal/timing"
 )
 
 // changer draws changes. It goes through all backends in a drawn order, so that one changes again only after all others.
@@ -68,7 +69,7 @@
 }
 
 func (f *fleet) publishUntil(ctx context.Context) error {
-	for wait(ctx, f.changer.wait(f.size.changesPerSecond)) == nil {
+	for timing.Wait(ctx, f.changer.wait(f.size.changesPerSecond)) == nil {
 		list, e := f.changer.draw(time.Now())
 		region := regionOf(e.Zone)
 		err := f.tracker.publish(list, region, e, func() (time.Time, error) {
--- a/internal/scale/propagation/fleet.go
+++ b/internal/scale/propagation/fleet.go
@@ -11,6 +11,7 @@
 
 	"fernlanding/internal/discovery"
 	"fernlanding/internal/emulator/registry"
+	"fernlanding/internal/timing"
 )
 
 const (
@@ -97,7 +98,7 @@
 			}
 		}
 	}
-	return wait(ctx, 2*replicationDelay) // or the first proxies would be told the lists in two parts
+	return timing.Wait(ctx, 2*replicationDelay) // or the first proxies would be told the lists in two parts
 }
 
 func listName(service int) string { return fmt.Sprintf("service-%02d", service) }
@@ -133,7 +134,7 @@
 	slices.SortFunc(starts, func(a, b start) int { return cmp.Compare(a.after, b.after) })
 	began := time.Now()
 	for _, s := range starts {
-		if err := wait(ctx, time.Until(began.Add(s.after))); err != nil {
+		if err := timing.Wait(ctx, time.Until(began.Add(s.after))); err != nil {
 			return err
 		}
 		if err := f.start(ctx, s.w); err != nil {
@@ -144,7 +145,7 @@
 	if !f.tracker.await(ctx, startLimit, listed) {
 		return cmp.Or(ctx.Err(), errNotStarted)
 	}
-	return wait(ctx, startPause)
+	return timing.Wait(ctx, startPause)
 }
 
 // awaitAllInForce waits until no change is on its way, or as long as the size says.
--- a/internal/scale/propagation/scenario.go
+++ b/internal/scale/propagation/scenario.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"fernlanding/internal/timing"
 )
 
 // scenario is what happens to the service and the proxies while changes come.
@@ -38,11 +40,11 @@
 )
 
 func playCalm(ctx context.Context, f *fleet) error {
-	return wait(ctx, f.size.calm)
+	return timing.Wait(ctx, f.size.calm)
 }
 
 func playReplicaKilled(ctx context.Context, f *fleet) error {
-	if err := wait(ctx, f.size.quiet); err != nil {
+	if err := timing.Wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
 	f.nextLoad(afterTheKill)
@@ -50,7 +52,7 @@
 	if err := f.service.Kill(killedReplica); err != nil {
 		return err
 	}
-	if err := wait(ctx, f.size.outage); err != nil {
+	if err := timing.Wait(ctx, f.size.outage); err != nil {
 		return err
 	}
 	f.nextLoad(atTheReturn)
@@ -58,17 +60,17 @@
 	if err := f.service.Restart(killedReplica); err != nil {
 		return err
 	}
-	return wait(ctx, f.size.after)
+	return timing.Wait(ctx, f.size.after)
 }
 
 // playSilences has all watches fall silent a number of times.
 func playSilences(ctx context.Context, f *fleet, every time.Duration) error {
-	if err := wait(ctx, f.size.quiet); err != nil {
+	if err := timing.Wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
 	for range f.size.silences {
 		f.service.SilenceWatches()
-		if err := wait(ctx, every); err != nil {
+		if err := timing.Wait(ctx, every); err != nil {
 			return err
 		}
 	}
@@ -83,7 +85,7 @@
 }
 
 func playZoneCut(ctx context.Context, f *fleet) error {
-	if err := wait(ctx, f.size.quiet); err != nil {
+	if err := timing.Wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
 	alone := justBefore(time.Now())
@@ -93,7 +95,7 @@
 }
 
 func playRegionsApart(ctx context.Context, f *fleet) error {
-	if err := wait(ctx, f.size.quiet); err != nil {
+	if err := timing.Wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
 	f.tracker.beginOutage(func(w *watcher, c *change) bool { return w.location.Region != c.region })
@@ -103,17 +105,17 @@
 
 // playReturn ends an outage after a while.
 func playReturn(ctx context.Context, f *fleet, length time.Duration, heal func()) error {
-	if err := wait(ctx, length); err != nil {
+	if err := timing.Wait(ctx, length); err != nil {
 		return err
 	}
 	f.nextLoad(atTheReturn)
 	f.tracker.endOutage(time.Now())
 	heal()
-	return wait(ctx, f.size.after)
+	return timing.Wait(ctx, f.size.after)
 }
 
 func playZoneStarts(ctx context.Context, f *fleet) error {
-	if err := wait(ctx, f.size.quiet); err != nil {
+	if err := timing.Wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
 	f.nextLoad(atTheStart)
@@ -126,12 +128,12 @@
 			return err
 		}
 	}
-	return wait(ctx, f.size.after)
+	return timing.Wait(ctx, f.size.after)
 }
 
 // playRestarts ends proxies one after the other and starts each again after a while, with the list that it had.
 func playRestarts(ctx context.Context, f *fleet) error {
-	if err := wait(ctx, f.size.quiet); err != nil {
+	if err := timing.Wait(ctx, f.size.quiet); err != nil {
 		return err
 	}
 	f.tracker.timeStarts()
@@ -147,21 +149,9 @@
 				return err
 			}
 		}
-		if err := wait(ctx, every); err != nil {
+		if err := timing.Wait(ctx, every); err != nil {
 			return err
 		}
 	}
-	return wait(ctx, f.size.after)
-}
-
-// wait returns after a time, or with an error once the context has ended.
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return timing.Wait(ctx, f.size.after)
 }
--- a/internal/scale/ramp/ramp_test.go
+++ b/internal/scale/ramp/ramp_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"math"
 	"os"
 	"runtime"
@@ -12,6 +11,7 @@
 	"time"
 
 	"fernlanding/internal/scale"
+	"fernlanding/internal/scale/scaletest"
 )
 
 const testSeed = 1
@@ -85,25 +85,17 @@
 	}
 }
 
-func testEnv() scale.Env {
-	return scale.Env{Seed: testSeed, Small: true, Progress: func(string, ...any) {}, Log: slog.New(slog.DiscardHandler)}
-}
-
 func TestExperiment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		result, err := Experiment.Run(t.Context(), testEnv())
+		result, err := Experiment.Run(t.Context(), scaletest.EnvInMemory(testSeed))
 		if err != nil {
 			t.Fatal(err)
 		}
-		type name struct{ circumstances, quantity string }
-		seen := map[name]bool{}
+		scaletest.CheckFigures(t, result.Figures, scale.HollowProxy)
 		for _, f := range result.Figures {
-			n := name{f.Case, f.Quantity}
-			if seen[n] || f.Case == "" || f.Unit == "" || f.Source != scale.HollowProxy || f.Samples == 0 ||
-				math.IsNaN(f.Value) || f.Value < 0 || !f.Meets() {
-				t.Errorf("figure %+v", f)
+			if !f.Meets() {
+				t.Errorf("figure %+v misses its target", f)
 			}
-			seen[n] = true
 		}
 		if len(result.Figures) != 7*len(cases) {
 			t.Errorf("%d figures for %d cases", len(result.Figures), len(cases))
@@ -116,7 +108,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
 		defer cancel()
 		begin := time.Now()
-		_, err := Experiment.Run(ctx, testEnv())
+		_, err := Experiment.Run(ctx, scaletest.EnvInMemory(testSeed))
 		if !errors.Is(err, context.DeadlineExceeded) || time.Since(begin) > 2600*time.Millisecond {
 			t.Errorf("error %v after %v", err, time.Since(begin))
 		}
--- a/internal/scale/scaletest/scaletest.go
+++ b/internal/scale/scaletest/scaletest.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -47,3 +48,26 @@
 	return scale.Env{Seed: 1, Small: true, ProxyProgram: program, TempDir: t.TempDir(), Cores: cores, Budget: budget,
 		Progress: t.Logf, Log: slog.New(slog.DiscardHandler)}
 }
+
+// EnvInMemory gives an experiment that starts no processes what it needs for a small run.
+func EnvInMemory(seed uint64) scale.Env {
+	return scale.Env{Seed: seed, Small: true, Progress: func(string, ...any) {}, Log: slog.New(slog.DiscardHandler)}
+}
+
+// FigureName tells one figure of a result from the others.
+type FigureName struct{ Case, Quantity string }
+
+// CheckFigures checks that figures are whole, come from one source, and that none is given twice. It gives their names.
+func CheckFigures(t *testing.T, figures []scale.Figure, source scale.Source) map[FigureName]bool {
+	t.Helper()
+	seen := map[FigureName]bool{}
+	for _, f := range figures {
+		name := FigureName{f.Case, f.Quantity}
+		if seen[name] || f.Case == "" || f.Unit == "" || f.Source != source || f.Samples == 0 ||
+			math.IsNaN(f.Value) || f.Value < 0 {
+			t.Errorf("figure %+v", f)
+		}
+		seen[name] = true
+	}
+	return seen
+}
