Have real proxies watch beside the hollow ones in propagation

Where nothing is cut off, ten real proxies started as run starts them watch lists of the same service; a change counts as seen at one when its next watch asks from a version that has it.

--- a/internal/scale/propagation/changes.go
+++ b/internal/scale/propagation/changes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fernlanding/internal/discovery"
+	"fernlanding/internal/emulator/registry"
 	"fernlanding/internal/timing"
 )
 
@@ -73,7 +74,7 @@
 		list, e := f.changer.draw(time.Now())
 		region := regionOf(e.Zone)
 		err := f.tracker.publish(list, region, e, func() (time.Time, error) {
-			accepted, err := f.service.Publish(list, region, e)
+			accepted, err := f.real.publish(func() (registry.Change, error) { return f.service.Publish(list, region, e) })
 			return accepted.At, err
 		})
 		if err != nil {
--- a/internal/scale/propagation/figures.go
+++ b/internal/scale/propagation/figures.go
@@ -23,6 +23,7 @@
 	outage   bool // some changes could not reach some proxies when they were accepted
 	loads    []load
 	traffic  []int64 // bytes of each proxy over all phases
+	real     *realProxies
 }
 
 // measured gives what has been measured. Nothing may go on meanwhile but the proxies' watches.
@@ -31,12 +32,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return &measurement{times: t.times, accepted: t.accepted, notIn: t.open, asked: f.ask, outage: f.scenario.outOfReach,
-		loads: f.load.loads, traffic: f.load.traffic}
+		loads: f.load.loads, traffic: f.load.traffic, real: f.real}
 }
 
 // figures gives the figures of one case.
 func (m *measurement) figures(name string) []scale.Figure {
-	b := &figureBuilder{name: name}
+	b := &figureBuilder{name: name, source: scale.HollowProxy}
 	if m.outage {
 		b.times("accepted, or back in reach, to in force at the last proxy", m.times.inForce, scale.Target(propagationTarget))
 		b.times("accepted to in force at the last proxy, those out of reach included", m.times.uncorrected, nil)
@@ -50,18 +51,19 @@
 		b.load(m.loads)
 	}
 	b.traffic(m.loads, m.traffic)
-	return b.figures
+	return append(b.figures, m.real.figures(name)...)
 }
 
 // figureBuilder gathers the figures of one case.
 type figureBuilder struct {
 	name    string
+	source  scale.Source
 	figures []scale.Figure
 }
 
 func (b *figureBuilder) add(quantity, unit string, value float64, target *float64, samples int) {
 	b.figures = append(b.figures, scale.Figure{Case: b.name, Quantity: quantity, Unit: unit, Value: value, Target: target,
-		Source: scale.HollowProxy, Samples: samples})
+		Source: b.source, Samples: samples})
 }
 
 func (b *figureBuilder) times(quantity string, l *latencies, target *float64) {
--- a/internal/scale/propagation/fleet.go
+++ b/internal/scale/propagation/fleet.go
@@ -38,6 +38,7 @@
 	watchers []*watcher
 	backends map[string]int // of each list at the beginning
 	load     loadMeter
+	real     *realProxies
 }
 
 // The streams of random numbers that a fleet draws from its seed.
@@ -50,13 +51,14 @@
 
 func newFleet(ctx context.Context, config fleetConfig) (*fleet, error) {
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(config.seed, n)) }
+	real := newRealProxies()
 	service, err := registry.New(registry.Config{Replicas: replicas(config.size.replicaCalls), Ask: config.ask,
-		ReplicationDelay: replicationDelay, Random: stream(serviceStream)})
+		ReplicationDelay: replicationDelay, Random: stream(serviceStream), Observe: real.observe})
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{fleetConfig: config, service: service, tracker: newTracker(), changer: newChanger(stream(changeStream)),
-		random: stream(scenarioStream), backends: map[string]int{}}
+		random: stream(scenarioStream), backends: map[string]int{}, real: real}
 	if err := f.fill(ctx, stream(watcherStream)); err != nil {
 		f.close()
 		return nil, err
@@ -150,7 +152,7 @@
 
 // awaitAllInForce waits until no change is on its way, or as long as the size says.
 func (f *fleet) awaitAllInForce(ctx context.Context) {
-	f.tracker.await(ctx, f.size.settle, f.tracker.allInForce)
+	f.tracker.await(ctx, f.size.settle, func() bool { return f.tracker.allInForce() && f.real.allShown() })
 }
 
 // close ends the proxies and the service. The context of all that it runs has ended.
@@ -158,5 +160,6 @@
 	for _, w := range f.watchers {
 		w.stop()
 	}
+	f.real.stop()
 	f.service.Close()
 }
--- a/internal/scale/propagation/propagation.go
+++ b/internal/scale/propagation/propagation.go
@@ -1,5 +1,5 @@
 // Package propagation measures how long changes of the lists of backends take until they are in force at every proxy
-// that watches the list, and what the proxies' watches cost the discovery service. The proxies are hollow ones, the
+// that watches the list, and what the proxies' watches cost the discovery service. The proxies are hollow ones, a few real ones beside them, the
 // service is the stand-in of package registry; both membership modes and a number of faults are played.
 package propagation
 
@@ -65,7 +65,7 @@
 	for i, j := range jobs {
 		group.Go(func() error {
 			env.Progress("%s: begins", j.name())
-			measured, err := j.run(ctx, size, overTCP)
+			measured, err := j.run(ctx, env, size, overTCP)
 			if err != nil {
 				return fmt.Errorf("%s: %w", j.name(), err)
 			}
@@ -93,7 +93,7 @@
 }
 
 // run plays the scenario on a fleet of its own.
-func (j job) run(ctx context.Context, size size, network network) (*measurement, error) {
+func (j job) run(ctx context.Context, env scale.Env, size size, network network) (*measurement, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	f, err := newFleet(ctx, fleetConfig{job: j, size: size, network: network})
 	if err != nil {
@@ -105,6 +105,11 @@
 	if err := f.startUp(ctx); err != nil {
 		return nil, err
 	}
+	if env.ProxyProgram != "" && j.scenario.hasRealProxies() {
+		if err := f.startReal(ctx, env); err != nil {
+			return nil, err
+		}
+	}
 	f.beginLoad()
 	changes := f.publishChanges(ctx)
 	if err := j.scenario.play(ctx, f); err != nil {
--- a/internal/scale/propagation/propagation_test.go
+++ b/internal/scale/propagation/propagation_test.go
@@ -56,7 +56,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var err error
-		if m, err = j.run(t.Context(), smallSize(), inMemory); err != nil {
+		if m, err = j.run(t.Context(), scale.Env{}, smallSize(), inMemory); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -157,7 +157,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), after)
 				defer cancel()
 				began := time.Now()
-				_, err := j.run(ctx, smallSize(), inMemory)
+				_, err := j.run(ctx, scale.Env{}, smallSize(), inMemory)
 				if took := time.Since(began); !errors.Is(err, context.DeadlineExceeded) || took > after+time.Second {
 					t.Errorf("%s: error %v after %v, ended at %v", j.name(), err, took, after)
 				}
--- a/internal/scale/propagation/scenario.go
+++ b/internal/scale/propagation/scenario.go
@@ -15,6 +15,9 @@
 	play         func(ctx context.Context, f *fleet) error
 }
 
+// hasRealProxies tells whether real proxies watch beside the hollow ones: where each change can reach all from the start.
+func (s scenario) hasRealProxies() bool { return !s.outOfReach && s.zoneHeldBack == "" }
+
 func scenarios() []scenario {
 	return []scenario{ // the longest first, since some run at once
 		{name: "regions apart and back", outOfReach: true, play: playRegionsApart},
--- a/internal/scale/propagation/size.go
+++ b/internal/scale/propagation/size.go
@@ -15,6 +15,7 @@
 // size says how large and how long the scenarios are.
 type size struct {
 	proxies, services int
+	realProxies       int // beside them, where nothing is cut off and none starts late
 	changesPerSecond  float64
 	replicaCalls      float64       // calls that a replica can take in a second, where calls are asked
 	startSpread       time.Duration // the first proxies start over this time
@@ -36,7 +37,7 @@
 
 // fullSize is the operators' size.
 func fullSize() size {
-	return size{proxies: 970, services: 29, changesPerSecond: 2.5, replicaCalls: 500, startSpread: 2 * time.Second,
+	return size{proxies: 970, services: 29, realProxies: 10, changesPerSecond: 2.5, replicaCalls: 500, startSpread: 2 * time.Second,
 		parallel: 4, quiet: 4 * time.Second, calm: 40 * time.Second, outage: 20 * time.Second,
 		partition: 2 * time.Minute, after: 12 * time.Second, silences: 5, silenceSeldom: 30 * time.Second,
 		silenceOften: 6 * time.Second, restarts: 170, restartSpan: 30 * time.Second, downTime: 2 * time.Second,
@@ -45,7 +46,7 @@
 
 // smallSize is to try the experiment.
 func smallSize() size {
-	return size{proxies: 60, services: 6, changesPerSecond: 5, replicaCalls: 50, startSpread: time.Second,
+	return size{proxies: 60, services: 6, realProxies: 3, changesPerSecond: 5, replicaCalls: 50, startSpread: time.Second,
 		parallel: 16, quiet: time.Second, calm: 6 * time.Second, outage: 5 * time.Second, partition: 8 * time.Second,
 		after: 5 * time.Second, silences: 2, silenceSeldom: 8 * time.Second, silenceOften: 5 * time.Second, restarts: 10,
 		restartSpan: 4 * time.Second, downTime: time.Second, settle: 15 * time.Second}
@@ -72,6 +73,9 @@
 			s.silences, s.silenceSeldom, s.silenceOften, s.restarts, s.restartSpan, s.downTime),
 		"Loads leave out the start of the first proxies; a replica's mean is that of the replica with the most. Where the list " +
 			"is pushed, an agent on each proxy's machine bears the calls, and the service's load is not emulated.",
+		fmt.Sprintf("Where nothing is cut off and none starts late, %d real proxies watch beside the hollow ones, without calls of "+
+			"clients, if the real proxy's program is there. A change counts as seen at one when its next watch asks from a version "+
+			"that has it, which it does once its loop has taken the change in.", s.realProxies),
 		"Bytes are those of HTTP on the connections, both ways, without TCP's and IP's headers; 1 KB is 1,000 bytes.",
 	}
 }
