--- a/review/3/main.go
+++ b/review/3/main.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
-
 	"time"
 
 	"review/standin"
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")"
 mkdir -p bin
 for case in [0-9]*/; do
-  go build -o "bin/case${case%/}" "./$case"
+  go build -buildvcs=false -o "bin/case${case%/}" "./$case"
 done
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -45,15 +45,11 @@
 	return &Client{connection, bufio.NewReader(connection)}, nil
 }
 
-// Send writes a request without a body.
+// Send writes a request of a class without keys. It has no body.
 func (c *Client) Send(class, id string, timeout time.Duration) error {
-	key := ""
-	if class == Meter {
-		key = "Idempotency-Key: key-" + id + "\r\n"
-	}
 	_, err := fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
-		"Tenant: water-supply\r\nRequest-Timeout-Ms: %d\r\n%sContent-Length: 0\r\n\r\n",
-		class, id, class, timeout.Milliseconds(), key)
+		"Tenant: water-supply\r\nRequest-Timeout-Ms: %d\r\nContent-Length: 0\r\n\r\n",
+		class, id, class, timeout.Milliseconds())
 	return err
 }
 
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -3,98 +3,97 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"syscall"
 	"time"
 )
 
+const startTimeout = 20 * time.Second
+
 // Proxy is a process of the project's proxy.
 type Proxy struct {
 	Address string // for clients
-	Console string // for operators; empty if it has none
 
 	c       *Case
-	label   string // in the record
 	command *exec.Cmd
 	exited  chan struct{} // closed when the process has ended
 }
 
-// ProxyOptions are what a proxy is told.
-type ProxyOptions struct {
-	Label     string // in the record
-	Name      string
-	Listen    string // a free address if empty
-	Console   string // no console if empty
-	Discovery string
-	Known     List // the list as the proxy last had it
-	Settings  map[string]any
-	TempDir   string // its $TMPDIR; a new folder if empty
-}
-
-// StartProxy starts a proxy with the command `run` of the deploy file, which RUN holds, from the folder ROOT.
-func (c *Case) StartProxy(o ProxyOptions) (*Proxy, error) {
-	root, run := os.Getenv("ROOT"), os.Getenv("RUN")
-	if root == "" || run == "" {
-		return nil, fmt.Errorf("ROOT or RUN is not set")
-	}
-	var err error
-	if o.Listen == "" {
-		if o.Listen, err = FreeAddress(); err != nil {
-			return nil, err
-		}
+// StartProxyFor starts a proxy whose list names one backend, with the command `run` of the deploy file. It waits until
+// the proxy is healthy.
+func (c *Case) StartProxyFor(b *Backend) (*Proxy, error) {
+	list := List{Index: 1, Snapshot: true, Endpoints: []Endpoint{
+		{Name: b.Name, Address: b.Address, Zone: "town-hall", Type: "intake-std", Status: "SERVING", Weight: 1},
+	}}
+	discovery, err := c.startAgent(list)
+	if err != nil {
+		return nil, err
 	}
-	if o.TempDir == "" {
-		if o.TempDir, err = os.MkdirTemp(c.Dir, "tmp"); err != nil {
-			return nil, err
-		}
+	listen, err := freeAddress()
+	if err != nil {
+		return nil, err
 	}
-	config := map[string]any{
-		"name": o.Name, "listen": o.Listen, "discovery": o.Discovery, "seed": "8c1f30d27a5be964",
+	config, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":  o.Known, "settings": o.Settings,
-	}
-	if o.Console != "" {
-		config["console"] = o.Console
-	}
-	data, err := json.Marshal(config)
+		"known":  list, "settings": json.RawMessage(settings),
+	})
 	if err != nil {
 		return nil, err
 	}
-	file := c.path(o.Label + ".json")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
+	p := &Proxy{Address: listen, c: c, exited: make(chan struct{})}
+	if err := p.start(config, discovery); err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: o.Listen, Console: o.Console, c: c, label: o.Label, exited: make(chan struct{})}
+	return p, p.waitUntilHealthy()
+}
+
+// start starts the process with a configuration. RUN holds the command, and ROOT the folder to run it from.
+func (p *Proxy) start(config []byte, discovery string) error {
+	root, run := os.Getenv("ROOT"), os.Getenv("RUN")
+	if root == "" || run == "" {
+		return errors.New("ROOT or RUN is not set")
+	}
+	file, temporary := filepath.Join(p.c.dir, "config.json"), filepath.Join(p.c.dir, "tmp")
+	if err := os.WriteFile(file, config, 0o600); err != nil {
+		return err
+	}
+	if err := os.Mkdir(temporary, 0o700); err != nil {
+		return err
+	}
 	p.command = exec.Command("/bin/sh", "-c", run)
 	p.command.Dir = root
-	p.command.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_NAME="+o.Name, "LB_LISTEN="+o.Listen,
-		"LB_DISCOVERY="+o.Discovery, "TMPDIR="+o.TempDir)
+	p.command.Env = append(os.Environ(), "LB_NAME=n1", "LB_LISTEN="+p.Address, "LB_DISCOVERY="+discovery,
+		"LB_CONFIG="+file, "TMPDIR="+temporary)
 	log, err := p.command.StderrPipe()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := p.command.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	c.Note("%s: started, for clients at %s", o.Label, o.Listen)
-	c.AtEnd(p.Kill)
+	p.c.Note("proxy: started, for clients at %s", p.Address)
+	p.c.AtEnd(p.Kill)
 	go func() {
 		for lines := bufio.NewScanner(log); lines.Scan(); {
-			c.Note("%s log: %s", o.Label, lines.Text())
+			p.c.Note("proxy log: %s", lines.Text())
 		}
 		err := p.command.Wait()
-		c.Note("%s: ended (%v)", o.Label, err)
+		p.c.Note("proxy: ended (%v)", err)
 		close(p.exited)
 	}()
-	return p, nil
+	return nil
 }
 
 // Signal sends a signal to the process.
 func (p *Proxy) Signal(signal syscall.Signal) {
-	p.c.Note("%s: gets signal %q", p.label, signal)
+	p.c.Note("proxy: gets signal %q", signal)
 	_ = p.command.Process.Signal(signal)
 }
 
@@ -109,47 +108,28 @@
 	<-p.exited
 }
 
-// Exited is closed when the process has ended.
-func (p *Proxy) Exited() <-chan struct{} { return p.exited }
-
-// WaitUntilHealthy waits until GET /_health answers 200.
-func (p *Proxy) WaitUntilHealthy() error {
-	return p.waitFor("http://" + p.Address + "/_health")
-}
-
-// WaitUntilReady waits until the console says that the process is ready.
-func (p *Proxy) WaitUntilReady() error {
-	return p.waitFor("http://" + p.Console + "/_ready")
-}
-
-func (p *Proxy) waitFor(url string) error {
+func (p *Proxy) waitUntilHealthy() error {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		response, err := client.Get(url)
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		response, err := client.Get("http://" + p.Address + "/_health")
 		if err != nil {
 			continue
 		}
 		response.Body.Close()
 		if response.StatusCode == http.StatusOK {
-			p.c.Note("%s: %s answers 200", p.label, url)
+			p.c.Note("proxy: GET /_health answers 200")
 			return nil
 		}
 	}
-	return fmt.Errorf("%s: no 200 from %s", p.label, url)
+	return fmt.Errorf("no 200 from GET /_health within %v", startTimeout)
 }
 
-// StartProxyFor starts a proxy whose list names one backend, with an agent that has the same list, and waits until it
-// is healthy.
-func (c *Case) StartProxyFor(b *Backend) (*Proxy, error) {
-	list := List{Index: 1, Snapshot: true, Endpoints: []Endpoint{Serving(b.Name, b.Address)}}
-	agent, err := c.StartAgent(list)
+// freeAddress returns an address of 127.0.0.1 with a free port.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
-	}
-	p, err := c.StartProxy(ProxyOptions{Label: "proxy", Name: "n1", Discovery: agent.Address, Known: list,
-		Settings: Settings()})
-	if err != nil {
-		return nil, err
+		return "", err
 	}
-	return p, p.WaitUntilHealthy()
+	defer listener.Close()
+	return listener.Addr().String(), nil
 }
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -1,23 +1,10 @@
 package standin
 
-import "encoding/json"
+// Ticket is a class whose requests must never run twice.
+const Ticket = "ticket"
 
-// Names of classes in Settings.
-const (
-	Ticket = "ticket" // must never run twice
-	Meter  = "meter"  // carries a key
-)
-
-// Settings returns settings of a small deployment: the example of the page WIRE, for one proxy.
-func Settings() map[string]any {
-	var settings map[string]any
-	if err := json.Unmarshal([]byte(example), &settings); err != nil {
-		panic(err)
-	}
-	return settings
-}
-
-const example = `{"blend": {"whole": 0.35, "worst_class": 0.2, "worst_tenant": 0.1, "worst_window": 0.35},
+// settings are those of a small deployment: the example of the page WIRE, for one proxy and two tenants.
+const settings = `{"blend": {"whole": 0.35, "worst_class": 0.2, "worst_tenant": 0.1, "worst_window": 0.35},
  "clients": {"marks_retry": true},
  "contract": {"answer_slack_us": 20000, "ask_every_us": 10000000, "cold_us": 8400000, "drain_grace_us": 300000,
   "fall_us": 1000000, "start_capacity": 0.31, "tip_multiple": 3.0},
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -5,10 +5,10 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
-	"path/filepath"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,8 +24,9 @@
 
 // Case is one run of a case.
 type Case struct {
-	Trouble bool   // with the disruption
-	Dir     string // temporary folder, removed at the end
+	Trouble bool // with the disruption
+
+	dir string // temporary folder, removed at the end
 
 	start   time.Time
 	mu      sync.Mutex // guards the fields below
@@ -48,11 +49,11 @@
 	}
 	c.record = record
 	defer record.Close()
-	if c.Dir, err = os.MkdirTemp("", "review"); err != nil {
+	if c.dir, err = os.MkdirTemp("", "review"); err != nil {
 		c.Note("cannot run: %v", err)
 		return NotRun
 	}
-	defer os.RemoveAll(c.Dir)
+	defer os.RemoveAll(c.dir)
 	defer c.end()
 	c.Note("disruption: %v", c.Trouble)
 
@@ -65,9 +66,13 @@
 		held, err := check(c)
 		done <- outcome{held, err}
 	}()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
 	var result outcome
 	select {
 	case result = <-done:
+	case <-ended:
+		result.err = errors.New("the case was ended from outside")
 	case <-time.After(limit):
 		result.err = errors.New("the time of the case is over")
 	}
@@ -107,16 +112,3 @@
 		cleanup[i]()
 	}
 }
-
-// path returns the path of a file in the temporary folder.
-func (c *Case) path(name string) string { return filepath.Join(c.Dir, name) }
-
-// FreeAddress returns an address of 127.0.0.1 with a free port.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
