Judge a blocked write by the peer's progress, so that slow readers get long bodies whole

Cause: message.writePiece and upstream.uploadWriter gave each write a deadline and took a write that was blocked at its deadline for a peer that accepts nothing. The kernel wakes a blocked writer only when about a third of the send buffer is free; the buffer grows to 4 MB, and at 64 kB a second a third takes some 20 s.

Change: socket.StallLimit repeats a blocked write four times during its timeout; a repeated write succeeds as soon as there is any room, so only a peer that makes none for the whole timeout fails it. Long responses and streamed request bodies use it.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -20,6 +20,8 @@
 	servedRequest atomic.Bool
 	head          requestHead
 
+	writeStallTimeout atomic.Int64 // nanoseconds; 0 if writes have a deadline instead
+
 	// Guarded by the listener's mu. A connection without an open request is an element of one of the listener's lists.
 	list     *list.List // nil while a request is open
 	element  *list.Element
@@ -58,6 +60,24 @@
 	return n, err
 }
 
+// LimitWriteStalls replaces the write deadline, until the next call of SetWriteDeadline: writes fail only when the client
+// has accepted no bytes for the timeout. net/http sets a write deadline for each request.
+func (c *Conn) LimitWriteStalls(timeout time.Duration) { c.writeStallTimeout.Store(int64(timeout)) }
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(deadline time.Time) error {
+	c.writeStallTimeout.Store(0)
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	if timeout := time.Duration(c.writeStallTimeout.Load()); timeout > 0 {
+		return socket.StallLimit{Timeout: timeout}.Write(c.Conn, b)
+	}
+	return c.Conn.Write(b)
+}
+
 // CloseWrite half-closes the connection. net/http calls it before it closes a connection, so that a client that is
 // still sending can read an error response.
 func (c *Conn) CloseWrite() error { return c.Conn.(interface{ CloseWrite() error }).CloseWrite() }
--- a/internal/downstream/respond.go
+++ b/internal/downstream/respond.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"baylock/balancer"
+	"baylock/internal/clientconn"
 	"baylock/internal/message"
 )
 
@@ -62,6 +63,9 @@
 	stream, err := response.Stream, http.ErrAbortHandler
 	defer func() { stream.Done <- err }()
 	s.setHeader(w.Header(), response.ContentType, stream.Length, false)
+	if connection := clientconn.FromContext(r.Context()); connection != nil {
+		connection.LimitWriteStalls(message.WriteStallTimeout)
+	}
 	if err = stream.Deliver(r.Context(), w); err != nil {
 		s.log.Warn("answer not finished", "id", r.Header.Get(idHeader), "error", err)
 		panic(http.ErrAbortHandler)
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -1,14 +1,17 @@
 package downstream
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"baylock/balancer"
+	"baylock/internal/backendtest"
 	"baylock/internal/clientconn"
 	"baylock/internal/message"
 	"baylock/internal/timing"
@@ -172,3 +175,51 @@
 		})
 	}
 }
+
+// Guards against a long response that is cut off although its client reads all the time, only more slowly than the kernel
+// frees a third of the send buffer.
+func TestServerFinishesLongResponseToSlowReader(t *testing.T) {
+	t.Parallel()
+	const bytesPerSecond, slowTime = 64_000, message.WriteStallTimeout * 3 / 2
+	body := bytes.Repeat([]byte("0123456789abcde\n"), 1<<20)
+	for name, length := range map[string]int64{"with a length": int64(len(body)), "in chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newFakeDispatcher()
+			address := startTestServer(t, newTestServer(d))
+			stream := &message.ResponseStream{Body: bytes.NewReader(body), Length: length, Abort: func() {}, Done: make(chan error, 1)}
+			go func() { (<-d.submitted).Respond(Response{Status: http.StatusOK, Stream: stream}) }()
+			request := newLookRequest(t.Context())
+			request.RequestURI, request.URL.Scheme, request.URL.Host = "", "http", address
+			response, err := http.DefaultTransport.RoundTrip(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			received, err := backendtest.ReadSlowly(response.Body, bytesPerSecond, slowTime)
+			if err != nil || !bytes.Equal(received, body) {
+				t.Errorf("received %d of %d bytes, %v", len(received), len(body), err)
+			}
+			if err := <-stream.Done; err != nil {
+				t.Errorf("the delivery failed: %v", err)
+			}
+		})
+	}
+}
+
+// startTestServer serves clients on a loopback address until the test ends.
+func startTestServer(t *testing.T, s *Server) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.connections.Listener = listener
+	go func() { _ = s.Serve() }()
+	t.Cleanup(func() {
+		s.connections.Close()
+		_ = s.http.Close()
+		<-s.ServeDone()
+	})
+	return listener.Addr().String()
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -8,9 +8,15 @@
 	"time"
 )
 
-// StreamStallTimeout is how long a streamed body may make no progress on a backend connection, in either direction. It
-// is long because a streamed body that is cut off cannot be sent again.
-const StreamStallTimeout = 5 * time.Second
+const (
+	// StreamStallTimeout is how long a backend may send no bytes of a streamed response. It is long because a streamed body
+	// that is cut off cannot be sent again.
+	StreamStallTimeout = 5 * time.Second
+
+	// WriteStallTimeout is how long the receiver of a streamed body, a client or a backend, may accept no bytes. It is long
+	// because the receive window of a slow reader opens in large steps.
+	WriteStallTimeout = 10 * time.Second
+)
 
 // ErrTooLong reports a body that is longer than MaxBody.
 var ErrTooLong = errors.New("the body is too large")
--- a/internal/message/response_stream.go
+++ b/internal/message/response_stream.go
@@ -5,13 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 )
 
-// clientStallTimeout is how long a client may accept no bytes. It is long because the receive window of a slow reader
-// opens in large steps.
-const clientStallTimeout = 10 * time.Second
-
 // ResponseStream is a backend's response that is forwarded as it arrives. The client's side calls Deliver and then
 // sends one value on Done.
 type ResponseStream struct {
@@ -23,8 +18,9 @@
 	Done        chan error // gets the result of the delivery; has a buffer for one value
 }
 
-// Deliver writes the response to a client and flushes each piece as it arrives. The error of a read or write says which
-// side failed. After any error the response is incomplete, and the client's connection must be closed.
+// Deliver writes the response to a client and flushes each piece as it arrives. Each write blocks for as long as the
+// client's connection allows. The error of a read or write says which side failed. After any error the response is
+// incomplete, and the client's connection must be closed.
 func (s *ResponseStream) Deliver(ctx context.Context, w http.ResponseWriter) (err error) {
 	// Once the client has disconnected, reading the rest of the response is pointless.
 	stopAbort := context.AfterFunc(ctx, s.Abort)
@@ -62,12 +58,10 @@
 
 // writePiece writes and flushes one piece of a body.
 func writePiece(w http.ResponseWriter, piece []byte) error {
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Now().Add(clientStallTimeout))
 	if _, err := w.Write(piece); err != nil {
 		return fmt.Errorf("client: %w", err)
 	}
-	if err := control.Flush(); err != nil {
+	if err := http.NewResponseController(w).Flush(); err != nil {
 		return fmt.Errorf("client: %w", err)
 	}
 	return nil
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,5 +1,5 @@
 // Package socket provides operations on TCP sockets that package net lacks: it inspects a connection without reading
-// from it, and shares a listening address between processes.
+// from it, limits writes by the peer's progress, and shares a listening address between processes.
 package socket
 
 import (
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -5,12 +5,12 @@
 	"context"
 	"errors"
 	"io"
-	"os"
 	"sync/atomic"
 	"time"
 
 	"baylock/balancer"
 	"baylock/internal/message"
+	"baylock/internal/socket"
 )
 
 // earlyResponseWait is how long a failed upload waits for a response that may explain the failure.
@@ -71,7 +71,7 @@
 	return result
 }
 
-// uploadWriter writes a streamed request to an endpoint. It fails once a write times out, or the endpoint sends something
+// uploadWriter writes a streamed request to an endpoint. It fails once the endpoint accepts no more bytes, sends something
 // or closes the connection.
 type uploadWriter struct {
 	ctx        context.Context
@@ -85,7 +85,6 @@
 
 // Write implements io.Writer. The first call starts the attempt.
 func (w *uploadWriter) Write(b []byte) (n int, err error) {
-	_ = w.conn.SetWriteDeadline(w.attempt.sendDeadline(time.Now().Add(message.StreamStallTimeout)))
 	if !w.conn.written {
 		var ok bool
 		if w.notStarted, ok = w.attempt.start(w.ctx, w.conn); !ok {
@@ -96,11 +95,12 @@
 	if w.attempt.earlyResponse.Load() {
 		w.stopped.Store(true)
 	}
-	if w.conn.aborted.Load() || w.stopped.Load() {
-		err = os.ErrDeadlineExceeded
-	} else {
-		n, err = w.conn.Write(b)
+	limit := socket.StallLimit{
+		Timeout:  message.WriteStallTimeout,
+		Deadline: w.attempt.DedupDeadline,
+		Aborted:  func() bool { return w.conn.aborted.Load() || w.stopped.Load() },
 	}
+	n, err = limit.Write(w.conn, b)
 	w.shortWrite = w.shortWrite || n < len(b)
 	return n, err
 }
--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -201,3 +201,30 @@
 		t.Error("the body was not written completely")
 	}
 }
+
+// Guards against an upload that is cut off although its endpoint reads all the time, only more slowly than the kernel frees
+// a third of the send buffer.
+func TestUploadFinishesAtSlowEndpoint(t *testing.T) {
+	t.Parallel()
+	const bytesPerSecond, slowTime = 64_000, message.WriteStallTimeout * 3 / 2
+	body := bytes.Repeat([]byte("0123456789abcde\n"), 1<<20)
+	received := make(chan []byte, 1)
+	b := backendtest.StartRaw(t, func(w io.Writer, r *http.Request) bool {
+		got, err := backendtest.ReadSlowly(r.Body, bytesPerSecond, slowTime)
+		received <- got
+		if err == nil {
+			_, _ = io.WriteString(w, backendtest.OK)
+		}
+		return false
+	})
+	a := newTestAttempt(t, newTestPool(4, b.Address), "a", time.Minute)
+	a.Request.Method = http.MethodPost
+	a.Request.Stream = newRequestStream(t, bytes.NewReader(body), int64(len(body)))
+	a.Observer = uploadObserver(func(time.Time) time.Time { return time.Now().Add(testTimeout) })
+	if result := a.run(); result.Status != balancer.OK {
+		t.Errorf("got status %v", result.Status)
+	}
+	if got := backendtest.Receive(t, "end of the upload", received); !bytes.Equal(got, body) {
+		t.Errorf("received %d of %d bytes", len(got), len(body))
+	}
+}
