Forward no long response to requests received late in any shutdown

Cause: Proxy.shutDown set streamingCutoff only if another process had taken over, while Server.Drain serves open connections for up to 2.45 s.

Change: the limit of 0.6 s after SIGTERM holds at every shutdown. A response over 64 KiB to a later request ends it at once. The balancer decides how (Outcome.Undeliverable): no retry, 503 with Retry-After where the class allows a repeat, else 502; before, a hand-over answered 502 to all. A short response to a late request is buffered until it is complete: before, it was forwarded after 0.5 s and would have failed like a long one, also at a hand-over.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -194,7 +194,7 @@
 	case o.RequestDone || req.done:
 		b.finish(now, host, req)
 	case req.outstanding > 0:
-	case !o.BodyConsumed && b.retry(now, host, req):
+	case !o.BodyConsumed && !o.Undeliverable && b.retry(now, host, req):
 	case b.mayReject(now, req):
 		b.reject(now, host, req)
 	default:
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -71,4 +71,7 @@
 	Latency      Microseconds // from the send to the end
 	RequestDone  bool         // the request has ended; otherwise the client still waits for a response
 	BodyConsumed bool         // part of the body is no longer available, so it cannot be sent again
+
+	// Undeliverable tells that the response cannot be delivered before the process ends. Neither could that of a retry.
+	Undeliverable bool
 }
--- a/balancer/streaming_test.go
+++ b/balancer/streaming_test.go
@@ -66,3 +66,17 @@
 		})
 	}
 }
+
+// Guards against a retry whose response could not be delivered either, because the process ends.
+func TestHandleOutcomeDoesNotRetryUndeliverableResponse(t *testing.T) {
+	for class, want := range map[int]string{idempotentClass: "reject r", notIdempotentClass: "fail r"} {
+		t.Run(want, func(t *testing.T) {
+			b, h := newWithEndpoints(t, testSettings(), 4)
+			b.HandleRequest(testStart, h, Request{ID: "r", Class: class, Deadline: testStart + second})
+			b.HandleOutcome(testStart+1000, h, Outcome{ID: "r", Status: OK, Undeliverable: true})
+			if len(h.sends) != 1 || h.last() != want || b.requests["r"] != nil {
+				t.Errorf("%d sends, then %q, want 1 and %q", len(h.sends), h.last(), want)
+			}
+		})
+	}
+}
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -69,7 +69,7 @@
 // shutdownBegun is posted when the process starts to shut down.
 type shutdownBegun struct {
 	cutoff          balancer.Microseconds // requests without a response fail at this time
-	streamingCutoff balancer.Microseconds // requests fully received later get no streamed response; 0 for no limit
+	streamingCutoff balancer.Microseconds // requests fully received later get no streamed response
 }
 
 func (e requestSubmitted) handle(l *eventLoop) { l.acceptRequest(e.request) }
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -42,6 +42,7 @@
 		number:          r.attemptsSent,
 		sentAt:          now,
 		responseTimeout: (deadline - now).Duration(),
+		completedAt:     r.CompletedAt,
 	}
 	a.Attempt = &upstream.Attempt{Request: r.Forwarded, Deadline: l.clock.Time(deadline), Observer: a}
 	if dedupDeadline != 0 {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -49,8 +49,11 @@
 	attempts        sync.WaitGroup  // the goroutines that run attempts
 	attemptsContext context.Context // parent of all attempts' contexts
 
-	cutoff          balancer.Microseconds // when requests without a response fail; 0 unless shutting down
-	streamingCutoff balancer.Microseconds // requests fully received later get no streamed response; 0 for no limit
+	cutoff balancer.Microseconds // when requests without a response fail; 0 unless shutting down
+
+	// streamingCutoff is a time in the balancer's microseconds: requests that are fully received later get no streamed
+	// response. It is 0 unless the process is shutting down. Any goroutine may load it, only the loop sets it.
+	streamingCutoff atomic.Int64
 }
 
 // timerTarget is the purpose of one of the loop's timers: the expiry of a request, or a timer that the balancer has set.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -89,31 +89,41 @@
 	l.balancer.RequestUploaded(a.sentAt, r.ID, r.Deadline)
 }
 
-// respondWithStream gives a request a response that is forwarded as it arrives. The request's deadline applies only to the
-// first bytes of the response. The attempt's outcome is reported to the balancer now, because the endpoint's work is done.
+// respondWithStream gives a request a response that is forwarded as it arrives, or lets the balancer end the request if the
+// response might not be complete before SIGKILL. The request's deadline applies only to the first bytes of the response. The
+// attempt's outcome is reported to the balancer now, because the endpoint's work is done.
 func (l *eventLoop) respondWithStream(a *attempt, response *message.ResponseStream) {
 	r := a.request
 	if r.responded {
 		a.cancel()
 		return
 	}
-	if l.streamingCutoff > 0 && r.CompletedAt > l.streamingCutoff {
-		// SIGKILL could cut the response off, and the request would be lost. A failed request does not count as lost.
-		l.cancel(r, downstream.Response{Status: http.StatusBadGateway})
-		return
+	deliverable := l.mayStream(r.CompletedAt)
+	if deliverable {
+		a.forwarding = true
+		l.respond(r, downstream.Response{Status: http.StatusOK, ContentType: response.ContentType, Stream: response})
+	} else {
+		a.cancel()
 	}
-	a.forwarding = true
-	l.respond(r, downstream.Response{Status: http.StatusOK, ContentType: response.ContentType, Stream: response})
 	now := l.clock.Now()
 	l.balancer.HandleOutcome(now, l, balancer.Outcome{
-		ID:          r.ID,
-		Attempt:     a.number,
-		Status:      balancer.OK,
-		Latency:     now - a.sentAt,
-		RequestDone: true,
+		ID:            r.ID,
+		Attempt:       a.number,
+		Status:        balancer.OK,
+		Latency:       now - a.sentAt,
+		RequestDone:   deliverable,
+		Undeliverable: !deliverable,
 	})
 }
 
+// mayStream reports whether a request that was fully received at a time may get a streamed response. During a shutdown,
+// SIGKILL could cut off the response to a late one, and the request would be lost. If it is rejected or fails, it is not.
+// mayStream is safe for concurrent use.
+func (l *eventLoop) mayStream(completedAt balancer.Microseconds) bool {
+	cutoff := balancer.Microseconds(l.streamingCutoff.Load())
+	return cutoff == 0 || completedAt <= cutoff
+}
+
 // cancel ends a request with a response and cancels its attempt. If the request already has a response that is being
 // forwarded, cancel only stops the forwarding.
 func (l *eventLoop) cancel(r *request, response downstream.Response) {
@@ -139,7 +149,8 @@
 
 // beginShutdown makes all requests fail that have no response by cutoff, since the process may be killed soon after.
 func (l *eventLoop) beginShutdown(cutoff, streamingCutoff balancer.Microseconds) {
-	l.cutoff, l.streamingCutoff = cutoff, streamingCutoff
+	l.cutoff = cutoff
+	l.streamingCutoff.Store(int64(streamingCutoff))
 	for _, r := range l.requests {
 		if r.expiry.Due() > cutoff {
 			l.timers.Reschedule(r.expiry, cutoff)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -15,8 +15,8 @@
 	// their responses.
 	servingFraction = 0.7
 
-	// streamingWindow limits streamed responses if another process has taken over: only requests that were fully received
-	// within this time after SIGTERM get one. SIGKILL might cut off a later one, and its request would count as lost.
+	// streamingWindow limits streamed responses: only requests that were fully received within this time after SIGTERM get
+	// one. SIGKILL might cut off a later one, and its request would count as lost.
 	streamingWindow = 600 * time.Millisecond
 )
 
@@ -74,11 +74,10 @@
 	p.operatorState.StopAccepting()
 	window := min(p.loop.settings.Load().LongestDeadline(begin), killDelay) + killLeeway
 	cutoff := begin.Add(window)
-	shutdown := shutdownBegun{cutoff: p.loop.clock.At(cutoff)}
-	if takenOver {
-		shutdown.streamingCutoff = p.loop.clock.At(begin.Add(streamingWindow))
-	}
-	p.loop.post(shutdown)
+	p.loop.post(shutdownBegun{
+		cutoff:          p.loop.clock.At(cutoff),
+		streamingCutoff: p.loop.clock.At(begin.Add(streamingWindow)),
+	})
 	if takenOver {
 		p.server.HandOver(cutoff)
 		return
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -167,6 +167,62 @@
 	}
 }
 
+// Guards against a long response that SIGKILL cuts off: a request that is received later than streamingWindow after SIGTERM
+// gets none. A short response is served however slowly it arrives.
+func TestShutdownForwardsNoLongResponseToLateRequest(t *testing.T) {
+	const long = 300_000
+	b := startBufferingBackend(t, func(w io.Writer, r *http.Request, _ []byte) {
+		if r.URL.Path == "/look/slow" {
+			writeSlowly(w, "HTTP/1.1 200 OK\r\nContent-Length: 240\r\n\r\n"+distinctText(240))
+			return
+		}
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", long, distinctText(long))
+	})
+	p := startProxyWithBackend(t, b)
+	c, idle := connect(t, p), connect(t, p) // with a single connection the requests would be rejected unsent
+	for i, c := range []*testClient{idle, c} {
+		c.send(t, lookRequest(fmt.Sprint("before", i), 8000))
+		if resp, body := c.readResponse(t); resp.StatusCode != 200 || len(body) != long {
+			t.Fatalf("before SIGTERM: got %s with %d bytes", resp.Status, len(body))
+		}
+	}
+	p.stop()
+	backendtest.WaitUntil(t, func() bool { return p.loop.streamingCutoff.Load() != 0 })
+	c.send(t, lookRequest("early", 8000))
+	if resp, body := c.readResponse(t); resp.StatusCode != 200 || len(body) != long {
+		t.Errorf("right after SIGTERM: got %s with %d bytes", resp.Status, len(body))
+	}
+	backendtest.WaitUntil(t, func() bool { return !p.loop.mayStream(p.loop.clock.Now()) })
+	c.send(t, lookRequest("late", 8000))
+	if resp, _ := c.readResponse(t); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("long response to an idempotent request: got %s %v, want 503 with Retry-After", resp.Status, resp.Header)
+	}
+	c.send(t, shortPost("once"))
+	if resp, _ := c.readResponse(t); resp.StatusCode != 502 {
+		t.Errorf("long response to a request that is not idempotent: got %s, want 502", resp.Status)
+	}
+	c.send(t, strings.Replace(lookRequest("slow", 8000), "/k", "/slow", 1))
+	if resp, body := c.readResponse(t); resp.StatusCode != 200 || body != distinctText(240) {
+		t.Errorf("short response that arrives slowly: got %s %q", resp.Status, body)
+	}
+	if n := b.Requests.Load(); n != 6 {
+		t.Errorf("%d attempts for 6 requests", n)
+	}
+	if err := backendtest.Receive(t, "end of Run", p.done); err != nil {
+		t.Error(err)
+	}
+}
+
+// writeSlowly writes a text in pieces, over a longer time than a short response is buffered while it may be forwarded.
+func writeSlowly(w io.Writer, text string) {
+	const pieces, pause = 15, 60 * time.Millisecond
+	size := (len(text) + pieces - 1) / pieces
+	for ; text != ""; text = text[min(size, len(text)):] {
+		_, _ = io.WriteString(w, text[:min(size, len(text))])
+		time.Sleep(pause)
+	}
+}
+
 // At the cutoff the loop fails open requests, but on a busy machine their responses may be written later. Shutdown waits for
 // these responses, but not for the rest of an incomplete head.
 func TestShutdownAnswersOpenRequestAfterCutoff(t *testing.T) {
--- a/internal/upstream/forward_test.go
+++ b/internal/upstream/forward_test.go
@@ -21,6 +21,8 @@
 	panic("the request was not streamed")
 }
 
+func (o responseObserver) MayForward() bool { return true }
+
 func (o responseObserver) ResponseStarted(response *message.ResponseStream) { o <- response }
 
 // startLongResponse starts an attempt whose response is too long to be buffered, and waits until forwarding of the
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -61,6 +61,8 @@
 
 func (o uploadObserver) UploadFinished(at time.Time) (deadline time.Time) { return o(at) }
 
+func (o uploadObserver) MayForward() bool { return true }
+
 func (o uploadObserver) ResponseStarted(*message.ResponseStream) {
 	panic("a forwarded response was not expected")
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -57,7 +57,7 @@
 		return Result{Status: balancer.Error}, false, nil
 	}
 	body, complete, err := message.ReadBuffered(response.Body, response.ContentLength, a.Request.Reservation,
-		time.Now().Add(responseStallTimeout))
+		a.bufferUntil())
 	if err != nil {
 		return Result{}, false, fmt.Errorf("read response body: %w", err)
 	}
@@ -69,6 +69,14 @@
 	return classify(response, body, quiet), complete && !response.Close && quiet, nil
 }
 
+// bufferUntil returns when a response that has not arrived completely is forwarded as it arrives, or zero for never.
+func (a *Attempt) bufferUntil() time.Time {
+	if a.Observer != nil && !a.Observer.MayForward() {
+		return time.Time{}
+	}
+	return time.Now().Add(responseStallTimeout)
+}
+
 // readFinalHead skips informational (1xx) responses and returns the final response, with its body unread.
 func (a *Attempt) readFinalHead(c *conn) (*http.Response, error) {
 	for range maxInformational + 1 {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,10 @@
 	// the deadline for the response.
 	UploadFinished(at time.Time) (deadline time.Time)
 
+	// MayForward reports whether a response may be forwarded as it arrives. If not, a short response is buffered until it is
+	// complete, however slowly it arrives.
+	MayForward() bool
+
 	// ResponseStarted hands over a response that is forwarded as it arrives. The attempt lasts until a value is sent on
 	// the response's Done channel or the attempt's context ends.
 	ResponseStarted(*message.ResponseStream)
