Forward responses whose body ends with the connection, and fail reset ones

Cause: Attempt.readResponse rejected such a response at its head, since a truncated body would look complete. It does not: a closed connection (FIN) ends the stream, a reset one (RST) fails the read.

Change: a 200 without a length is buffered or forwarded like one in chunks, up to the end of the connection. After a reset a buffered one counts as a reset, and a forwarded one ends without its last chunk.

--- a/internal/proxy/forwarding_test.go
+++ b/internal/proxy/forwarding_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"baylock/internal/backendtest"
+	"baylock/internal/message"
 	"baylock/internal/upstream"
 )
 
@@ -87,3 +89,43 @@
 		t.Errorf("a request that is not idempotent was sent %d times", n)
 	}
 }
+
+// Guards against the loss of complete responses with neither a length nor chunks: closing the connection ends them. A reset
+// does not, and the client must notice that.
+func TestProxyForwardsResponsesWithoutLength(t *testing.T) {
+	b := backendtest.Start(t, func(w io.Writer, r *http.Request, _ int) bool {
+		var size int
+		_, _ = fmt.Sscan(r.URL.Query().Get("n"), &size)
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n\r\n"+distinctText(size))
+		if r.URL.Query().Has("reset") {
+			if err := w.(*net.TCPConn).SetLinger(0); err != nil {
+				t.Error(err)
+			}
+		}
+		return false
+	})
+	p := startProxyWithBackend(t, b)
+	c := connect(t, p)
+	request := func(id int, query string) string {
+		return strings.Replace(shortPost(fmt.Sprint(id)), "/post/k", "/post/k?"+query, 1)
+	}
+	sizes := []int{0, 1, 2048, message.MaxBuffered, message.MaxBuffered + 1, 300_000}
+	for id, size := range sizes {
+		c.send(t, request(id, fmt.Sprint("n=", size)))
+		if resp, body := c.readResponse(t); resp.StatusCode != 200 || body != distinctText(size) || resp.Close {
+			t.Errorf("%d bytes: got %s with %d bytes, close %v", size, resp.Status, len(body), resp.Close)
+		}
+	}
+	c.send(t, request(len(sizes), "reset&n=2048"))
+	if resp, body := c.readResponse(t); resp.StatusCode != 502 {
+		t.Errorf("reset after 2048 bytes: got %s with %d bytes, want 502", resp.Status, len(body))
+	}
+	c.send(t, request(len(sizes)+1, "reset&n=3000000"))
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); resp.StatusCode == 200 && err == nil {
+		t.Errorf("reset: the client got %d bytes as a complete response", len(body))
+	}
+}
--- a/internal/upstream/forward_test.go
+++ b/internal/upstream/forward_test.go
@@ -66,6 +66,40 @@
 	}
 }
 
+// Guards against long responses without a length that are not forwarded, and against a reset one that looks complete.
+func TestAttemptForwardsLongResponseWithoutLength(t *testing.T) {
+	const length = 300_000
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			forwarding := make(chan struct{})
+			p := newTestPool(4, backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", length))
+				<-forwarding
+				if reset {
+					resetConnection(t, w)
+				}
+				return false
+			}).Address)
+			_, response, results := startLongResponse(t, p)
+			close(forwarding)
+			rest, err := io.ReadAll(response.Body)
+			if (err != nil) != reset {
+				t.Errorf("the body ends with %v", err)
+			}
+			if got := len(response.Prefix) + len(rest); got != length && !reset || response.Length != -1 {
+				t.Errorf("got %d bytes, length %d", got, response.Length)
+			}
+			response.Done <- err
+			if result := backendtest.Receive(t, "result", results); result.Status != balancer.OK {
+				t.Errorf("got status %v", result.Status)
+			}
+			if open := p.Stats().Open; open != 0 {
+				t.Errorf("%d connections open", open)
+			}
+		})
+	}
+}
+
 func TestCancelledAttemptStopsForwarding(t *testing.T) {
 	p := newTestPool(4, backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("x", 100_000))
