Do not blame a client for time in which the proxy itself did not read

Cause: the time that a client may take for a body ran on while the proxy waited for a core, for a connection or for a slow backend, and package net fails a read whose deadline has passed although bytes have arrived.

Change: message.RequestStream counts only the time in which it reads. clientconn.Conn.Read returns what has arrived even after the deadline (socket.ReadArrived), and so does upstream's connection after its stall timeout, but not after an attempt's deadline or its end.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -3,7 +3,9 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -49,9 +51,13 @@
 // unread.
 func (c *Conn) ClientGone() bool { return socket.PeerClosed(c) }
 
-// Read implements net.Conn. It also records when bytes arrive, and the heads of requests.
+// Read implements net.Conn. It also records when bytes arrive, and the heads of requests. Bytes that arrived before the
+// read deadline are returned after it as well: package net fails such a read, but it is this process that is late.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = socket.ReadArrived(c.Conn, b)
+	}
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
 		c.head.record(b[:n])
--- a/internal/message/request_stream.go
+++ b/internal/message/request_stream.go
@@ -34,9 +34,11 @@
 	done        chan struct{} // closed when ended is set
 	interrupted atomic.Bool   // reads fail until Resume is called
 
-	mu       sync.Mutex // held during a read; guards the fields below
-	received int64      // bytes of the body received so far
-	failure  error      // error of reading from the client, or ErrTooLong
+	mu         sync.Mutex    // held during a read; guards the fields below
+	received   int64         // bytes of the body received so far
+	readEnd    time.Time     // when the last read ended; zero before the first one
+	notReading time.Duration // time between reads, for which the client is not to blame
+	failure    error         // error of reading from the client, or ErrTooLong
 }
 
 // NewRequestStream returns a stream for a body. length is the announced length in bytes, or -1 if there is none.
@@ -133,6 +135,10 @@
 }
 
 func (s *RequestStream) readLocked(b []byte) (int, error) {
+	if !s.readEnd.IsZero() {
+		s.notReading += time.Since(s.readEnd)
+	}
+	defer func() { s.readEnd = time.Now() }()
 	_ = s.control.SetReadDeadline(s.nextReadDeadline())
 	if s.interrupted.Load() { // Interrupt may have been called before SetReadDeadline replaced its deadline
 		return 0, ErrInterrupted
@@ -146,7 +152,7 @@
 
 // nextReadDeadline returns the time by which the next bytes must arrive.
 func (s *RequestStream) nextReadDeadline() time.Time {
-	return s.start.Add(FirstBytesTimeout + time.Duration(s.received)*time.Second/minBodyRate)
+	return s.start.Add(FirstBytesTimeout + s.notReading + time.Duration(s.received)*time.Second/minBodyRate)
 }
 
 // Buffer reads the body like ReadBuffered, but with the read deadlines of the stream. What it reads does not count as
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,7 +4,10 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"unsafe"
 )
@@ -33,6 +36,33 @@
 	return err == nil && quiet
 }
 
+// ReadArrived reads bytes that have already arrived on a connection, without blocking and whatever the read deadline is. If
+// there are none, its error is os.ErrDeadlineExceeded. It must not be called while a Read is pending.
+func ReadArrived(c net.Conn, b []byte) (n int, err error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, os.ErrDeadlineExceeded
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	err = control(raw, func(fd uintptr) error {
+		var err error
+		n, _, err = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT)
+		return err
+	})
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return 0, os.ErrDeadlineExceeded
+	case err != nil:
+		return 0, fmt.Errorf("read: %w", err)
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // PeerClosed reports whether the peer has closed or reset a connection. Unlike Read it detects this even if unread
 // bytes precede the close. It may be called at any time; a connection closed by this side counts as closed.
 func PeerClosed(c net.Conn) bool {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"baylock/internal/socket"
 )
 
 // conn is a connection to an endpoint. It carries one request at a time. The pool owns an idle connection; an attempt
@@ -55,7 +58,17 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.onlyStalled() {
+		return socket.ReadArrived(c.Conn, b)
+	}
+	return n, err
+}
+
+// onlyStalled reports whether a read that failed at its deadline has exceeded the stall timeout alone. Bytes that arrived
+// within that timeout are still good if this process was too late to read them.
+func (c *conn) onlyStalled() bool {
+	return c.stallTimeout > 0 && !c.aborted.Load() && (c.readDeadline.IsZero() || time.Now().Before(c.readDeadline))
 }
 
 // SyscallConn implements syscall.Conn, so that package socket can inspect the connection.
