--- a/internal/microtime/microtime_test.go
+++ b/internal/microtime/microtime_test.go
@@ -1,6 +1,7 @@
 package microtime
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -25,3 +26,15 @@
 		}
 	}
 }
+
+func TestDurationSaturates(t *testing.T) {
+	const longest = 292 * 365 * 24 * time.Hour
+	for _, m := range []Microseconds{math.MaxInt64, math.MaxInt64 / 2, maxMicroseconds + 1} {
+		if got := m.Duration(); got < longest {
+			t.Errorf("%d us: got %v", m, got)
+		}
+		if got := (-m).Duration(); got > -longest {
+			t.Errorf("%d us: got %v", -m, got)
+		}
+	}
+}
--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -65,6 +66,14 @@
 	}
 }
 
+// Guards against a loop that spins because a timer that is never due seems to be overdue.
+func TestClockKeepsUnlimitedTimeInFuture(t *testing.T) {
+	clock := NewClock()
+	if wait := time.Until(clock.Time(math.MaxInt64)); wait < 24*time.Hour {
+		t.Errorf("the time is %v away", wait)
+	}
+}
+
 func TestWaitReturnsErrorOfEndedContext(t *testing.T) {
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
