Fail an upload whose client has sent nothing for 2.5 s

Change: the next bytes are due 2.5 s after the proxy waits for them, however many came before. Time in which the proxy does not read still counts for nothing, so a slow backend is not held against the client.

TestRequestStreamLimitsStallOfFastClient has 64.8 s instead of 2.5 s on the code before. Tests of proxy, downstream, upstream and message pass.

--- a/internal/message/request_stream.go
+++ b/internal/message/request_stream.go
@@ -16,6 +16,10 @@
 	// rate of the slowest client.
 	minBodyRate = 16 << 10
 
+	// clientStallTimeout is how long a client may send nothing, however fast it was before. A client that stops in the
+	// middle of a body is owed its error within 3 s.
+	clientStallTimeout = 2500 * time.Millisecond
+
 	// DiscardTimeout is how long a rejected client may keep writing, so that it can read the error response.
 	DiscardTimeout = 500 * time.Millisecond
 )
@@ -107,7 +111,8 @@
 	}
 }
 
-// Read reads from the client. It fails if the client is slower than the minimum rate or the body exceeds MaxBody.
+// Read reads from the client. It fails if the client stalls or is slower than the minimum rate, or if the body exceeds
+// MaxBody.
 func (s *RequestStream) Read(b []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,7 +157,12 @@
 
 // nextReadDeadline returns the time by which the next bytes must arrive.
 func (s *RequestStream) nextReadDeadline() time.Time {
-	return s.start.Add(FirstBytesTimeout + s.notReading + time.Duration(s.received)*time.Second/minBodyRate)
+	stalled := time.Now().Add(clientStallTimeout)
+	tooSlow := s.start.Add(FirstBytesTimeout + s.notReading + time.Duration(s.received)*time.Second/minBodyRate)
+	if tooSlow.Before(stalled) {
+		return tooSlow
+	}
+	return stalled
 }
 
 // Buffer reads the body like ReadBuffered, but with the read deadlines of the stream. What it reads does not count as
--- a/internal/message/request_stream_test.go
+++ b/internal/message/request_stream_test.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -56,3 +57,20 @@
 		}
 	})
 }
+
+// Guards against a client that sends much of a body fast, then stops and holds a connection to a backend for as long as the
+// minimum rate allows for the bytes that it has sent.
+func TestRequestStreamLimitsStallOfFastClient(t *testing.T) {
+	const sent = 1 << 20
+	synctest.Test(t, func(t *testing.T) {
+		writer := &deadlineRecorder{ResponseWriter: httptest.NewRecorder()}
+		body := io.MultiReader(bytes.NewReader(make([]byte, sent)), &pacedBody{})
+		stream := NewRequestStream(body, -1, http.NewResponseController(writer), time.Now())
+		if _, err := io.ReadFull(stream, make([]byte, sent+1)); err != nil {
+			t.Fatal(err)
+		}
+		if got := time.Until(writer.deadline); got != clientStallTimeout {
+			t.Errorf("after %d bytes, the next may take %v, want %v", sent, got, clientStallTimeout)
+		}
+	})
+}
