--- a/internal/proxy/dispatcher.go
+++ b/internal/proxy/dispatcher.go
@@ -15,14 +15,7 @@
 func (l *eventLoop) Done() <-chan struct{} { return l.done }
 
 // Ready implements downstream.Dispatcher. It reports whether an endpoint list has been received.
-func (l *eventLoop) Ready() bool {
-	select {
-	case <-l.endpointListReady:
-		return true
-	default:
-		return false
-	}
-}
+func (l *eventLoop) Ready() bool { return isClosed(l.endpointListReady) }
 
 // Settings implements downstream.Dispatcher.
 func (l *eventLoop) Settings() downstream.Settings { return l.settings.Load() }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -178,10 +178,18 @@
 // closeOnce closes a channel unless it is closed already. Nothing is ever sent on the channel, and only one goroutine may
 // call closeOnce for it.
 func closeOnce(c chan struct{}) {
+	if !isClosed(c) {
+		close(c)
+	}
+}
+
+// isClosed reports whether a channel on which nothing is ever sent is closed.
+func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
+		return true
 	default:
-		close(c)
+		return false
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -160,14 +160,7 @@
 }
 
 // isOpen reports whether the listeners are open.
-func (p *Proxy) isOpen() bool {
-	select {
-	case <-p.opened:
-		return true
-	default:
-		return false
-	}
-}
+func (p *Proxy) isOpen() bool { return isClosed(p.opened) }
 
 // Addr returns the address where clients connect. It must not be called before the listeners are open.
 func (p *Proxy) Addr() string { return p.clients.Addr().String() }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -105,15 +105,7 @@
 	} else {
 		a.cancel()
 	}
-	now := l.clock.Now()
-	l.balancer.HandleOutcome(now, l, balancer.Outcome{
-		ID:            r.ID,
-		Attempt:       a.number,
-		Status:        balancer.OK,
-		Latency:       now - a.sentAt,
-		RequestDone:   deliverable,
-		Undeliverable: !deliverable,
-	})
+	l.reportOutcome(a, balancer.Outcome{Status: balancer.OK, RequestDone: deliverable, Undeliverable: !deliverable})
 }
 
 // mayStream reports whether a request that was fully received at a time may get a streamed response. During a shutdown,
@@ -179,14 +171,20 @@
 		l.respond(r, downstream.Response{Status: result.ClientFault})
 		result.Status = balancer.NotAttempted
 	}
-	now := l.clock.Now()
-	l.balancer.HandleOutcome(now, l, balancer.Outcome{
-		ID:           r.ID,
-		Attempt:      a.number,
+	l.reportOutcome(a, balancer.Outcome{
 		Status:       result.Status,
-		Latency:      now - a.sentAt,
 		RequestDone:  r.responded,
 		BodyConsumed: result.BodyConsumed,
 	})
 	l.removeFinished(r)
 }
+
+// reportOutcome passes the outcome of an attempt that ends now to the balancer. It sets the fields that identify the attempt,
+// and the latency.
+func (l *eventLoop) reportOutcome(a *attempt, outcome balancer.Outcome) {
+	now := l.clock.Now()
+	outcome.ID = a.request.ID
+	outcome.Attempt = a.number
+	outcome.Latency = now - a.sentAt
+	l.balancer.HandleOutcome(now, l, outcome)
+}
