Hand the endpoint list over to a new version while discovery is silent

Cause: only the operator state and the learned state were handed over. The new process had the list it was started with.

Change: while another process runs, a process saves its endpoint list (discovery.Catalog) as .json.endpoints. Not chosen: to save it at every change at all times, which would cost each proxy with a console the work of writing a list that nobody reads. Older versions ignore the file.

TestStoreWritesFilesOfFixedNames names the new file, too.

--- a/internal/operatorstate/format_test.go
+++ b/internal/operatorstate/format_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"baylock/balancer"
+	"baylock/internal/discovery"
 )
 
 // copyEarlierVersionFiles copies the files that an earlier version of the program (commit d9ac8c1) wrote to a new
@@ -143,6 +144,9 @@
 	if err := s.SaveLearned(balancer.LearnedState{}); err != nil {
 		t.Fatal(err)
 	}
+	if err := s.SaveEndpoints(&discovery.List{}); err != nil {
+		t.Fatal(err)
+	}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		t.Fatal(err)
@@ -152,7 +156,7 @@
 		names = append(names, e.Name())
 	}
 	base := "fernlanding-a%2Fb%20c"
-	if want := []string{base + ".json", base + ".json.learned", base + ".lock"}; !slices.Equal(names, want) {
+	if want := []string{base + ".json", base + ".json.endpoints", base + ".json.learned", base + ".lock"}; !slices.Equal(names, want) {
 		t.Errorf("got %q, want %q", names, want)
 	}
 }
--- a/internal/operatorstate/store.go
+++ b/internal/operatorstate/store.go
@@ -1,5 +1,5 @@
-// Package operatorstate stores the operator state of a proxy, and passes what its balancer has learned to the next
-// process. All processes of a proxy share both through files in one directory. Locks on bytes of a lock file show them
+// Package operatorstate stores the operator state of a proxy, and passes what its balancer has learned and the endpoint
+// list to the next process. All processes of a proxy share both through files in one directory. Locks on bytes of a lock file show them
 // which other processes are running. The files remain when the processes exit.
 package operatorstate
 
@@ -16,19 +16,21 @@
 // Prefix and suffixes of the file names, with the proxy's name in between. Other versions of the program that run at
 // the same time use the same file names.
 const (
-	filePrefix    = "fernlanding-"
-	stateSuffix   = ".json"
-	lockSuffix    = ".lock"
-	learnedSuffix = ".json.learned"
+	filePrefix      = "fernlanding-"
+	stateSuffix     = ".json"
+	lockSuffix      = ".lock"
+	learnedSuffix   = ".json.learned"
+	endpointsSuffix = ".json.endpoints"
 
 	fileMode = 0o600
 )
 
 // Store holds the state of one proxy. It is safe for concurrent use.
 type Store struct {
-	log         *slog.Logger
-	locks       *lockFile // nil for an in-memory store
-	learnedPath string    // path of the learned-state file
+	log           *slog.Logger
+	locks         *lockFile // nil for an in-memory store
+	learnedPath   string    // path of the learned-state file
+	endpointsPath string    // path of the file with the endpoint list
 
 	mu             sync.Mutex // guards the fields below, and is also held while a state is applied
 	file           stateFile
@@ -48,7 +50,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("shared state: %w", err)
 	}
-	s := &Store{log: log, locks: locks, learnedPath: base + learnedSuffix, file: stateFile{path: base + stateSuffix}}
+	s := &Store{
+		log:           log,
+		locks:         locks,
+		learnedPath:   base + learnedSuffix,
+		endpointsPath: base + endpointsSuffix,
+		file:          stateFile{path: base + stateSuffix},
+	}
 	if err := s.reload(); err != nil {
 		log.Error("failed to load the shared state", "error", err)
 	}
--- a/internal/operatorstate/store_test.go
+++ b/internal/operatorstate/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -11,6 +12,7 @@
 	"time"
 
 	"baylock/balancer"
+	"baylock/internal/discovery"
 )
 
 const proxyName = "n0"
@@ -188,6 +190,39 @@
 	}
 }
 
+func TestLoadEndpointsReturnsRecentList(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir)
+	if list, err := s.LoadEndpoints(); list != nil || err != nil {
+		t.Errorf("no file: got %+v, %v", list, err)
+	}
+	saved := &discovery.List{Index: 43, Snapshot: true, Endpoints: []discovery.Endpoint{
+		{Name: "a", Address: "127.0.0.1:1", Zone: "z", Cell: 2, Status: discovery.Draining, SinceMs: 7}}}
+	if err := s.SaveEndpoints(saved); err != nil {
+		t.Fatal(err)
+	}
+	if list, err := s.LoadEndpoints(); err != nil || !reflect.DeepEqual(list, saved) {
+		t.Errorf("got %+v, %v, want %+v", list, err, saved)
+	}
+	path := filepath.Join(dir, "fernlanding-n0.json.endpoints")
+	const list = `"endpoints":{"index":43,"snapshot":true,"endpoints":[]}`
+	for name, c := range map[string]struct {
+		text   string
+		failed bool
+	}{
+		"too old":      {`{"at":"2026-01-02T03:04:05Z",` + list + `}`, false},
+		"damaged":      {`{"at":"now`, true},
+		"without list": {fmt.Sprintf(`{"at":%q}`, time.Now().Format(time.RFC3339Nano)), true},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if list, err := s.LoadEndpoints(); list != nil || (err != nil) != c.failed {
+			t.Errorf("%s: got %+v, %v", name, list, err)
+		}
+	}
+}
+
 func TestStoreInMemoryHasNoPeers(t *testing.T) {
 	s := NewInMemory(slog.New(slog.DiscardHandler))
 	defer s.Close()
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -7,6 +7,7 @@
 
 	"baylock/balancer"
 	"baylock/internal/config"
+	"baylock/internal/discovery"
 	"baylock/internal/downstream"
 	"baylock/internal/message"
 	"baylock/internal/upstream"
@@ -66,6 +67,12 @@
 // learnedStateQueried is posted to export the balancer's learned state. Its handler sets learned.
 type learnedStateQueried struct{ learned balancer.LearnedState }
 
+// endpointsQueried is posted to get the endpoint list in use. Its handler sets list.
+type endpointsQueried struct{ list *discovery.List }
+
+// endpointsHandedOver is posted with the endpoint list of the process that this one takes over from.
+type endpointsHandedOver struct{ list *discovery.List }
+
 // shutdownBegun is posted when the process starts to shut down.
 type shutdownBegun struct {
 	cutoff          balancer.Microseconds // requests without a response fail at this time
@@ -91,7 +98,9 @@
 func (e *learnedStateQueried) handle(l *eventLoop) {
 	e.learned = l.balancer.ExportState()
 }
-func (e shutdownBegun) handle(l *eventLoop) { l.beginShutdown(e.cutoff, e.streamingCutoff) }
+func (e *endpointsQueried) handle(l *eventLoop)   { e.list = l.catalog.List() }
+func (e endpointsHandedOver) handle(l *eventLoop) { l.takeOverEndpoints(e.list) }
+func (e shutdownBegun) handle(l *eventLoop)       { l.beginShutdown(e.cutoff, e.streamingCutoff) }
 
 // awaitedEvent wraps an event and closes done when the event has been handled.
 type awaitedEvent struct {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -41,6 +41,9 @@
 
 	settings atomic.Pointer[config.Snapshot] // in force; any goroutine may load it, only the loop replaces it
 
+	catalog     *discovery.Catalog // the endpoint list for another process of this proxy; nil if there can be none
+	listUpdates atomic.Int64       // updates of the catalog so far; any goroutine may load it, only the loop adds to it
+
 	detached map[string]bool     // IDs of the backends that operators have detached
 	requests map[string]*request // by ID; removed once they have their response and no attempt in flight
 	timers   timing.Queue[timerTarget]
@@ -168,6 +171,10 @@
 
 // applyList applies an endpoint list or changes to it, first to the connection pool and then to the balancer.
 func (l *eventLoop) applyList(kind balancer.UpdateKind, list *discovery.List) {
+	if l.catalog != nil {
+		l.catalog.Apply(list)
+		l.listUpdates.Add(1)
+	}
 	l.pool.ApplyEndpoints(kind != balancer.IncrementalUpdate, list.Endpoints)
 	l.balancer.UpdateEndpoints(l.clock.Now(), l, kind, l.zones.Endpoints(list.Endpoints))
 	if kind == balancer.FullUpdate || len(list.Endpoints) > 0 {
@@ -175,6 +182,16 @@
 	}
 }
 
+// takeOverEndpoints applies the endpoint list of the process that this one takes over from, unless this process has one that
+// is as recent.
+func (l *eventLoop) takeOverEndpoints(list *discovery.List) {
+	if isClosed(l.discoveryAnswered) || list.Index <= l.catalog.Index() {
+		return
+	}
+	l.applyList(balancer.CachedUpdate, list)
+	l.reportUnsent()
+}
+
 // closeOnce closes a channel unless it is closed already. Nothing is ever sent on the channel, and only one goroutine may
 // call closeOnce for it.
 func closeOnce(c chan struct{}) {
--- a/internal/proxy/operations.go
+++ b/internal/proxy/operations.go
@@ -14,7 +14,7 @@
 	// A change that operators make through one process reaches the other processes within this interval, which is well
 	// below the drain grace period.
 	stateSyncInterval = 50 * time.Millisecond
-	saveLearnedEvery  = 20 // the balancer's learned state is saved at one in this many syncs of the operator state
+	saveEvery         = 20 // the state for another process is saved at one in this many syncs of the operator state
 )
 
 // Errors that Ready returns.
@@ -99,20 +99,41 @@
 	}
 }
 
+// saveEndpoints saves the endpoint list in use for a process that takes over. It does nothing before the listeners are open.
+func (p *Proxy) saveEndpoints(ctx context.Context) {
+	if !p.isOpen() {
+		return
+	}
+	query := &endpointsQueried{}
+	err := p.loop.postAndWait(ctx, query)
+	if err == nil {
+		err = p.operatorState.SaveEndpoints(query.list)
+	}
+	if err != nil && ctx.Err() == nil {
+		p.log.Error("cannot save the endpoint list", "error", err)
+	}
+}
+
 // syncState applies operators' changes that were made through other processes of this proxy, and halves the limits of this
-// process while another one runs. It also saves the learned state at intervals. It returns when the context is canceled.
+// process while another one runs. It also saves the learned state at intervals and, while another process runs, the endpoint
+// list. It returns when the context is canceled.
 func (p *Proxy) syncState(ctx context.Context) {
 	ticker := time.NewTicker(stateSyncInterval)
 	defer ticker.Stop()
-	alone := true
+	alone, saved := true, int64(0)
 	for syncs := 0; ; syncs++ {
-		if syncs%saveLearnedEvery == 0 && !p.server.State().Draining {
+		if syncs%saveEvery == 0 && !p.server.State().Draining {
 			p.saveLearned(ctx)
 		}
 		if now := p.operatorState.Alone(); now != alone {
-			alone = now
+			alone, saved = now, 0
 			p.limits.setAlone(alone)
 		}
+		updates := p.loop.listUpdates.Load()
+		if !alone && !p.server.State().Draining && (updates != saved || syncs%saveEvery == 0) {
+			p.saveEndpoints(ctx)
+			saved = updates
+		}
 		p.server.SetTakenOver(p.operatorState.AcceptingPeers() > 0)
 		if err := p.operatorState.Sync(p.applyState(ctx)); err != nil && ctx.Err() == nil {
 			p.log.Error("shared state", "error", err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -84,6 +84,9 @@
 		limits:  p.config.Limits,
 	}
 	p.loop = newEventLoop(b, zones, p.limits, snapshot, p.log)
+	if p.operatorState.Shared() {
+		p.loop.catalog = discovery.NewCatalog()
+	}
 	p.server = downstream.NewServer(downstream.Options{
 		Listener:   p.clients,
 		Budget:     p.limits.budget,
--- a/internal/proxy/takeover_test.go
+++ b/internal/proxy/takeover_test.go
@@ -297,6 +297,78 @@
 	}
 }
 
+// Guards against a new process that sends requests to a draining backend: the running process was told of the draining, and
+// then discovery fell silent, so that the new process has only the list that it was started with.
+func TestTakeoverKeepsEndpointListOfRunningProcess(t *testing.T) {
+	a, b := startOKBackend(t), startOKBackend(t)
+	d, dir := startDiscovery(t), t.TempDir()
+	entries := []string{listEntry("a", a.Address, discovery.Serving), listEntry("b", b.Address, discovery.Serving)}
+	for name, known := range map[string][]string{"stale list": entries, "no list": nil} {
+		t.Run(name, func(t *testing.T) {
+			old := startWithConsole(t, dir, "127.0.0.1:0", d.addr, entries...)
+			d.answers <- listJSON(2, false, listEntry("a", a.Address, discovery.Draining))
+			backendtest.WaitUntil(t, func() bool { return old.endpoints(t).Index == 2 })
+			cfg := testConfig(t, siteText, d.addr, 400, "")
+			if known != nil {
+				cfg = testConfig(t, siteText, d.addr, 400, listJSON(1, true, known...))
+			}
+			cfg.Name, cfg.Listen, cfg.Console, cfg.TempDir = "n0", old.Addr(), "127.0.0.1:0", dir
+			next := start(t, cfg)
+			backendtest.Receive(t, "opening of the new process", next.opened)
+			old.stop()
+			backendtest.Receive(t, "end of the old process", old.done)
+			before := a.RequestsStarted.Load()
+			c := connect(t, next)
+			for i := range 20 {
+				c.send(t, lookRequest(fmt.Sprint(name, i), 4000))
+				if resp, _ := c.readResponse(t); resp.StatusCode != 200 {
+					t.Fatalf("got %s", resp.Status)
+				}
+			}
+			if got := a.RequestsStarted.Load() - before; got != 0 {
+				t.Errorf("%d of 20 requests went to the draining backend", got)
+			}
+		})
+	}
+}
+
+// endpoints returns the endpoint list in use.
+func (p *runningProxy) endpoints(t *testing.T) *discovery.List {
+	t.Helper()
+	query := &endpointsQueried{}
+	if err := p.loop.postAndWait(t.Context(), query); err != nil {
+		t.Fatal(err)
+	}
+	return query.list
+}
+
+func TestTakeoverPrefersNewerEndpointList(t *testing.T) {
+	d := startDiscovery(t)
+	entry := listEntry("a", startOKBackend(t).Address, discovery.Serving)
+	p := startWithConsole(t, t.TempDir(), "127.0.0.1:0", d.addr, entry) // with version 1
+	for _, step := range []struct {
+		handedOver int64
+		answer     string
+		want       int64
+	}{
+		{handedOver: 1, want: 1},
+		{handedOver: 3, want: 3},
+		{handedOver: 2, want: 3},
+		{answer: listJSON(4, true, entry), want: 4},
+		{handedOver: 9, want: 4}, // discovery has answered
+	} {
+		if step.answer != "" {
+			d.answers <- step.answer
+			backendtest.Receive(t, "answer of discovery", p.loop.discoveryAnswered)
+		} else if err := p.loop.postAndWait(t.Context(), endpointsHandedOver{&discovery.List{Index: step.handedOver, Snapshot: true}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := p.endpoints(t).Index; got != step.want {
+			t.Errorf("%+v: the list has version %d", step, got)
+		}
+	}
+}
+
 // SIGKILL could cut off the long response to a request that the old process receives late. That process therefore closes
 // idle connections after 0.5 s. A request whose body ends later than streamingWindow fails before its long response starts,
 // while one that was received in time gets its complete response.
