--- a/internal/operatorstate/store.go
+++ b/internal/operatorstate/store.go
@@ -1,6 +1,6 @@
-// Package operatorstate stores the operator state of a proxy, and passes what its balancer has learned and the endpoint
-// list to the next process. All processes of a proxy share both through files in one directory. Locks on bytes of a lock file show them
-// which other processes are running. The files remain when the processes exit.
+// Package operatorstate stores the operator state of a proxy, and passes the endpoint list and what the balancer has
+// learned to the next process. All processes of a proxy share them through files in one directory. Locks on bytes of a
+// lock file show them which other processes are running. The files remain when the processes exit.
 package operatorstate
 
 import (
