Share what the hand-over files and the tests wrote twice; keep one time of a request's end

Reading the whole change once more: - handover.go saved and loaded two kinds of records with the same steps: saveRecord, loadRecord and isRecent serve both. - syncState and both save methods asked separately whether the process is open and not draining; syncState asks once. One effect: a new process saves its list right after it has opened, not up to a second later. - The time at which a request was fully received was kept and updated twice, in the request and in the attempt. The attempt's decides now in both places (MayForward), and Request.CompletedAt stays as parsed, as its comment says. - Four tests made a connection reset each in its own way: backendtest.ResetOnClose. No assertion changed.

Measured: tests of proxy, upstream, operatorstate, socket and cmd/baylock pass with -race.

--- a/internal/backendtest/backendtest.go
+++ b/internal/backendtest/backendtest.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// ResetOnClose makes the close of a TCP connection reset it. It may be called on any goroutine.
+func ResetOnClose(t *testing.T, connection io.Writer) {
+	t.Helper()
+	if err := connection.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Error(err)
+	}
+}
+
 // Hang returns a Responder that writes nothing and blocks until the test ends.
 func Hang(t *testing.T) Responder {
 	t.Helper()
--- a/internal/operatorstate/handover.go
+++ b/internal/operatorstate/handover.go
@@ -22,33 +22,16 @@
 // SaveLearned stores what the balancer has learned, for another process of this proxy that starts while this one is
 // running. An in-memory store discards it.
 func (s *Store) SaveLearned(learned balancer.LearnedState) error {
-	if s.locks == nil {
-		return nil
-	}
-	data, err := json.Marshal(learnedRecord{SavedAt: time.Now(), Learned: learned})
-	if err != nil {
-		return err
-	}
-	return replaceFile(s.learnedPath, s.locks.slot, data)
+	return s.saveRecord(s.learnedPath, learnedRecord{SavedAt: time.Now(), Learned: learned})
 }
 
 // LoadLearned returns the state that another process has saved. recent is false if there is none or if it is too old.
 func (s *Store) LoadLearned() (learned balancer.LearnedState, recent bool, err error) {
-	if s.locks == nil {
-		return learned, false, nil
-	}
-	data, err := os.ReadFile(s.learnedPath)
-	if errors.Is(err, os.ErrNotExist) {
-		return learned, false, nil
-	}
-	if err != nil {
-		return learned, false, err
-	}
 	var record learnedRecord
-	if err := json.Unmarshal(data, &record); err != nil {
+	if err := s.loadRecord(s.learnedPath, &record); err != nil {
 		return learned, false, err
 	}
-	return record.Learned, time.Since(record.SavedAt).Abs() < handoverMaxAge, nil
+	return record.Learned, isRecent(record.SavedAt), nil
 }
 
 // endpointsRecord is the content of the file with the endpoint list.
@@ -60,38 +43,48 @@
 // SaveEndpoints stores the endpoint list in use, for another process of this proxy that has started while this one is
 // running. An in-memory store discards it.
 func (s *Store) SaveEndpoints(list *discovery.List) error {
-	if s.locks == nil {
-		return nil
-	}
 	endpoints, err := json.Marshal(list)
 	if err != nil {
 		return err
 	}
-	data, err := json.Marshal(endpointsRecord{SavedAt: time.Now(), Endpoints: endpoints})
+	return s.saveRecord(s.endpointsPath, endpointsRecord{SavedAt: time.Now(), Endpoints: endpoints})
+}
+
+// LoadEndpoints returns the endpoint list that another process has saved. It is nil if there is none or if it is too old.
+func (s *Store) LoadEndpoints() (*discovery.List, error) {
+	var record endpointsRecord
+	if err := s.loadRecord(s.endpointsPath, &record); err != nil || !isRecent(record.SavedAt) {
+		return nil, err
+	}
+	return discovery.ParseList(record.Endpoints)
+}
+
+// saveRecord replaces the content of a file for another process. An in-memory store discards the record.
+func (s *Store) saveRecord(path string, record any) error {
+	if s.locks == nil {
+		return nil
+	}
+	data, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
-	return replaceFile(s.endpointsPath, s.locks.slot, data)
+	return replaceFile(path, s.locks.slot, data)
 }
 
-// LoadEndpoints returns the endpoint list that another process has saved. It is nil if there is none or if it is too old.
-func (s *Store) LoadEndpoints() (*discovery.List, error) {
+// loadRecord reads a file that another process has written. It leaves the record unchanged if there is no file.
+func (s *Store) loadRecord(path string, record any) error {
 	if s.locks == nil {
-		return nil, nil
+		return nil
 	}
-	data, err := os.ReadFile(s.endpointsPath)
+	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
+		return nil
 	}
 	if err != nil {
-		return nil, err
-	}
-	var record endpointsRecord
-	if err := json.Unmarshal(data, &record); err != nil {
-		return nil, err
-	}
-	if time.Since(record.SavedAt).Abs() >= handoverMaxAge {
-		return nil, nil
+		return err
 	}
-	return discovery.ParseList(record.Endpoints)
+	return json.Unmarshal(data, record)
 }
+
+// isRecent reports whether what was saved at a time still describes the backends. The zero time is not recent.
+func isRecent(savedAt time.Time) bool { return time.Since(savedAt).Abs() < handoverMaxAge }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -18,7 +18,7 @@
 	number          int                   // index among the request's attempts, from 0
 	sentAt          balancer.Microseconds // when the balancer sent it, or when the last byte of a streamed request was written
 	responseTimeout time.Duration         // for the response to a streamed request, from the request's last byte on
-	completedAt     balancer.Microseconds // when the request was fully received; the attempt's goroutine owns it
+	completedAt     balancer.Microseconds // when the request was fully received; not changed once the response has started
 	cancel          context.CancelFunc    // set while the attempt is in flight
 	forwarding      bool                  // the response is being forwarded
 }
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -36,9 +36,7 @@
 
 func resetConnection(t *testing.T, c *testClient) {
 	t.Helper()
-	if err := c.Conn.(*net.TCPConn).SetLinger(0); err != nil {
-		t.Fatal(err)
-	}
+	backendtest.ResetOnClose(t, c.Conn)
 	c.Close()
 }
 
--- a/internal/proxy/forwarding_test.go
+++ b/internal/proxy/forwarding_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -98,9 +97,7 @@
 		_, _ = fmt.Sscan(r.URL.Query().Get("n"), &size)
 		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n\r\n"+distinctText(size))
 		if r.URL.Query().Has("reset") {
-			if err := w.(*net.TCPConn).SetLinger(0); err != nil {
-				t.Error(err)
-			}
+			backendtest.ResetOnClose(t, w)
 		}
 		return false
 	})
--- a/internal/proxy/operations.go
+++ b/internal/proxy/operations.go
@@ -84,11 +84,8 @@
 	}
 }
 
-// saveLearned saves the balancer's learned state. It does nothing before the listeners are open.
+// saveLearned saves the balancer's learned state.
 func (p *Proxy) saveLearned(ctx context.Context) {
-	if !p.isOpen() {
-		return
-	}
 	query := &learnedStateQueried{}
 	err := p.loop.postAndWait(ctx, query)
 	if err == nil {
@@ -99,11 +96,8 @@
 	}
 }
 
-// saveEndpoints saves the endpoint list in use for a process that takes over. It does nothing before the listeners are open.
+// saveEndpoints saves the endpoint list in use for a process that takes over.
 func (p *Proxy) saveEndpoints(ctx context.Context) {
-	if !p.isOpen() {
-		return
-	}
 	query := &endpointsQueried{}
 	err := p.loop.postAndWait(ctx, query)
 	if err == nil {
@@ -122,7 +116,8 @@
 	defer ticker.Stop()
 	alone, saved := true, int64(0)
 	for syncs := 0; ; syncs++ {
-		if syncs%saveEvery == 0 && !p.server.State().Draining {
+		serving := p.isOpen() && !p.server.State().Draining
+		if serving && syncs%saveEvery == 0 {
 			p.saveLearned(ctx)
 		}
 		if now := p.operatorState.Alone(); now != alone {
@@ -130,7 +125,7 @@
 			p.limits.setAlone(alone)
 		}
 		updates := p.loop.listUpdates.Load()
-		if !alone && !p.server.State().Draining && (updates != saved || syncs%saveEvery == 0) {
+		if serving && !alone && (updates != saved || syncs%saveEvery == 0) {
 			p.saveEndpoints(ctx)
 			saved = updates
 		}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -80,7 +80,6 @@
 		return
 	}
 	a.sentAt = l.clock.At(uploadedAt)
-	r.CompletedAt = a.sentAt
 	r.Deadline = l.clock.At(uploadedAt.Add(r.Timeout))
 	if l.cutoff > 0 {
 		r.Deadline = min(r.Deadline, l.cutoff)
@@ -98,7 +97,7 @@
 		a.cancel()
 		return
 	}
-	deliverable := l.mayStream(r.CompletedAt)
+	deliverable := a.MayForward()
 	if deliverable {
 		a.forwarding = true
 		l.respond(r, downstream.Response{Status: http.StatusOK, ContentType: response.ContentType, Stream: response})
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -30,9 +30,7 @@
 		"closed":  {prepare: func(_ *testing.T, peer net.Conn) { peer.Close() }, err: io.EOF},
 		"reset": {prepare: func(t *testing.T, peer net.Conn) {
 			t.Helper()
-			if err := peer.(*net.TCPConn).SetLinger(0); err != nil {
-				t.Fatal(err)
-			}
+			backendtest.ResetOnClose(t, peer)
 			peer.Close()
 		}, err: syscall.ECONNRESET},
 	} {
--- a/internal/upstream/forward_test.go
+++ b/internal/upstream/forward_test.go
@@ -76,7 +76,7 @@
 				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", length))
 				<-forwarding
 				if reset {
-					resetConnection(t, w)
+					backendtest.ResetOnClose(t, w)
 				}
 				return false
 			}).Address)
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -91,14 +90,6 @@
 	}
 }
 
-// resetConnection makes the close of a test backend's connection reset it.
-func resetConnection(t *testing.T, w io.Writer) {
-	t.Helper()
-	if err := w.(*net.TCPConn).SetLinger(0); err != nil {
-		t.Error(err)
-	}
-}
-
 // Guards against a truncated body that is taken for a complete one: only a closed connection ends a body without a length,
 // not a reset one.
 func TestAttemptReportsResetOfResponseWithoutLength(t *testing.T) {
@@ -109,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
 				_, _ = io.WriteString(w, text)
-				resetConnection(t, w)
+				backendtest.ResetOnClose(t, w)
 				return false
 			})
 			if result := newTestAttempt(t, newTestPool(4, b.Address), "a", testTimeout).run(); result.Status != balancer.Reset {
