--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -18,11 +18,7 @@
 // IsQuiet reports whether a connection is open and has nothing to read. It detects, without blocking, that the peer of
 // an idle connection has closed it or sent something unexpected. It may be called while a Read is pending.
 func IsQuiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return false
 	}
@@ -39,11 +35,10 @@
 // ReadArrived reads bytes that have already arrived on a connection, without blocking and whatever the read deadline is. If
 // there are none, its error is os.ErrDeadlineExceeded. It must not be called while a Read is pending.
 func ReadArrived(c net.Conn, b []byte) (n int, err error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
+	raw, err := rawConn(c)
+	if errors.Is(err, errors.ErrUnsupported) {
 		return 0, os.ErrDeadlineExceeded
 	}
-	raw, err := sc.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
@@ -88,11 +83,7 @@
 // readInfo reads the kernel's state of a TCP socket. For anything else its error
 // matches errors.ErrUnsupported.
 func readInfo(socket any) (info tcpInfo, err error) {
-	sc, ok := socket.(syscall.Conn)
-	if !ok {
-		return info, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(socket)
 	if err != nil {
 		return info, err
 	}
@@ -108,6 +99,15 @@
 	return info, err
 }
 
+// rawConn gives access to the file descriptor of a socket. For anything else its error matches errors.ErrUnsupported.
+func rawConn(socket any) (syscall.RawConn, error) {
+	sc, ok := socket.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
 // control calls f with a socket's file descriptor and returns the error of c.Control or of f.
 func control(c syscall.RawConn, f func(fd uintptr) error) error {
 	var inner error
