--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,5 +1,4 @@
-// Case 10: a peer sends a request that is framed both by Content-Length and in chunks, after an empty line on a connection
-// that has carried a proper request. The proxy serves it.
+// Case 10: a peer sends OPTIONS * instead of a proper request, and the proxy serves it with an answer that no backend made.
 package main
 
 import (
@@ -12,15 +11,15 @@
 )
 
 const (
-	rounds    = 5
-	errorOwed = 3 * time.Second // a bad peer is owed an error or a close within this time
+	goodRequests = 10
+	errorOwed    = 3 * time.Second // a bad peer is owed an error or a close within this time of connecting
 )
 
 func main() { s.Main(run) }
 
 func run(c *s.Case) error {
-	serve := func(conn net.Conn, r *http.Request, body []byte) bool {
-		c.Log("backend: runs %s %s %s, body %q", r.Method, r.RequestURI, r.Header.Get("Request-Id"), body)
+	serve := func(conn net.Conn, r *http.Request, _ []byte) bool {
+		c.Log("backend: runs %s %s %s", r.Method, r.RequestURI, r.Header.Get("Request-Id"))
 		_, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		return err == nil
 	}
@@ -28,16 +27,19 @@
 	if err != nil {
 		return err
 	}
-	for range rounds {
-		if err := round(c, p.Address); err != nil {
+	for i := range goodRequests {
+		if err := good(c, p.Address); err != nil {
 			return err
 		}
+		if c.Trouble && i%2 == 1 {
+			bad(c, p.Address)
+		}
 	}
 	return nil
 }
 
-// round sends a proper request and then, with the disruption, an improper one on the same connection.
-func round(c *s.Case, address string) error {
+// good sends a proper request, which has to be served.
+func good(c *s.Case, address string) error {
 	conn, err := s.Dial(address)
 	if err != nil {
 		return err
@@ -49,17 +51,23 @@
 	if a.Status != http.StatusOK || string(a.Body) != "ok" {
 		return fmt.Errorf("a proper request was not served: %v", a)
 	}
-	if !c.Trouble {
-		return nil
+	return nil
+}
+
+// bad sends something that is not a proper request. Any 4xx or 5xx is due, or a close, but it must not be served.
+func bad(c *s.Case, address string) {
+	conn, err := s.Dial(address)
+	if err != nil {
+		c.Log("bad peer: %v", err)
+		return
 	}
-	bad := s.NewRequest(s.Ticket, "")
-	fmt.Fprintf(conn, "\r\n\r\nPOST /ticket HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Class: ticket\r\n"+
-		"Tenant: billing\r\nRequest-Timeout-Ms: 4000\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"+
-		"2\r\nab\r\n0\r\n\r\n", bad.ID)
-	a = conn.ReadAnswer(time.Now(), errorOwed)
-	c.Log("bad peer: Content-Length and chunks %s: %v", bad.ID, a)
+	defer conn.Close()
+	r := s.NewRequest(s.Ticket, "")
+	fmt.Fprintf(conn, "OPTIONS * HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Class: ticket\r\nTenant: billing\r\n"+
+		"Request-Timeout-Ms: 4000\r\nContent-Length: 0\r\n\r\n", r.ID)
+	a := conn.ReadAnswer(time.Now(), errorOwed)
+	c.Log("bad peer: OPTIONS * %s: %v", r.ID, a)
 	if a.Status/100 == 2 {
-		c.Broken("%s is framed in two ways and was served as though its request had run: %v", bad.ID, a)
+		c.Broken("OPTIONS * %s was served, and no backend made the answer: %v", r.ID, a)
 	}
-	return nil
 }
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,73 +1,85 @@
-// Case 9: a peer sends OPTIONS * instead of a proper request, and the proxy serves it with an answer that no backend made.
+// Case 9: a backend hangs for 6 s in the middle of a long answer and then goes on. The proxy cuts the answer off.
 package main
 
 import (
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	s "review/standin2"
 )
 
 const (
-	goodRequests = 10
-	errorOwed    = 3 * time.Second // a bad peer is owed an error or a close within this time of connecting
+	answerBytes = 200 << 10 // over 64 KiB, so only the first bytes are timed
+	pieceBytes  = 8 << 10
+	pieceGap    = 20 * time.Millisecond // 400 kB a second
+	hang        = 6 * time.Second       // servers hang for 5.9 to 25 s
+
+	requests   = 24
+	requestGap = 100 * time.Millisecond
+	clientWait = 30 * time.Second
+	hangsEvery = 9 // with the disruption, one answer in so many: up to 12 % of the servers hang
 )
 
 func main() { s.Main(run) }
 
 func run(c *s.Case) error {
+	var served atomic.Int64
 	serve := func(conn net.Conn, r *http.Request, _ []byte) bool {
-		c.Log("backend: runs %s %s %s", r.Method, r.RequestURI, r.Header.Get("Request-Id"))
-		_, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		return err == nil
+		hangs := c.Trouble && served.Add(1)%hangsEvery == 0
+		c.Log("backend: runs %s, hangs %v", r.Header.Get("Request-Id"), hangs)
+		return answer(c, conn, r.Header.Get("Request-Id"), hangs)
 	}
 	p, err := c.StartSmall(serve)
 	if err != nil {
 		return err
 	}
-	for i := range goodRequests {
-		if err := good(c, p.Address); err != nil {
-			return err
-		}
-		if c.Trouble && i%2 == 1 {
-			bad(c, p.Address)
+	var clients sync.WaitGroup
+	for i := range requests {
+		class := s.Ticket
+		if i%3 == 2 {
+			class = s.Meter
 		}
+		clients.Go(func() { request(c, p.Address, class) })
+		time.Sleep(requestGap)
 	}
+	clients.Wait()
 	return nil
 }
 
-// good sends a proper request, which has to be served.
-func good(c *s.Case, address string) error {
-	conn, err := s.Dial(address)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	r := s.NewRequest(s.Ticket, "a voicemail")
-	a := conn.Do(r, r.Timeout)
-	c.Log("client: %s: %v", r.ID, a)
-	if a.Status != http.StatusOK || string(a.Body) != "ok" {
-		return fmt.Errorf("a proper request was not served: %v", a)
+// answer writes a long answer. A backend that hangs stands still in the middle of it, and then writes the rest.
+func answer(c *s.Case, conn net.Conn, id string, hangs bool) (keep bool) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", answerBytes)
+	for sent := 0; sent < answerBytes; sent += pieceBytes {
+		if hangs && sent == answerBytes/2/pieceBytes*pieceBytes {
+			time.Sleep(hang)
+			c.Log("backend: goes on with %s", id)
+		}
+		if _, err := conn.Write([]byte(strings.Repeat("x", pieceBytes))); err != nil {
+			c.Log("backend: the proxy has closed the connection of %s: %v", id, err)
+			return false
+		}
+		time.Sleep(pieceGap)
 	}
-	return nil
+	return true
 }
 
-// bad sends something that is not a proper request. Any 4xx or 5xx is due, or a close, but it must not be served.
-func bad(c *s.Case, address string) {
+// request sends one request and checks that an answer that has begun comes whole.
+func request(c *s.Case, address string, class s.Class) {
+	r := s.NewRequest(class, "a voicemail")
 	conn, err := s.Dial(address)
 	if err != nil {
-		c.Log("bad peer: %v", err)
+		c.Log("client: %v", err)
 		return
 	}
 	defer conn.Close()
-	r := s.NewRequest(s.Ticket, "")
-	fmt.Fprintf(conn, "OPTIONS * HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Class: ticket\r\nTenant: billing\r\n"+
-		"Request-Timeout-Ms: 4000\r\nContent-Length: 0\r\n\r\n", r.ID)
-	a := conn.ReadAnswer(time.Now(), errorOwed)
-	c.Log("bad peer: OPTIONS * %s: %v", r.ID, a)
-	if a.Status/100 == 2 {
-		c.Broken("OPTIONS * %s was served, and no backend made the answer: %v", r.ID, a)
+	a := conn.Do(r, clientWait)
+	c.Log("client: %s %s: %v", class.Name, r.ID, a)
+	if a.Status == http.StatusOK && !a.Whole {
+		c.Broken("%s %s was cut off while its backend still gave the answer: %v", class.Name, r.ID, a)
 	}
 }
--- a/review/standin2/agent.go
+++ b/review/standin2/agent.go
@@ -38,6 +38,8 @@
 	changed chan struct{} // closed at each change
 	history []Entry       // the entry changed by each version after first
 	first   int64
+	down    bool // calls get no answer, also those that wait already
+	outages int  // how often discovery has gone down
 }
 
 // StartAgent starts an agent with a list.
@@ -92,6 +94,25 @@
 	return List{Index: a.list.Index, Endpoints: append([]Entry{}, a.history[from-a.first:]...)}, a.changed
 }
 
+// SetDown makes discovery unreachable or reachable again. A call that meets an outage stays silent for good, also after the
+// outage, as on a connection to a machine that was cut off.
+func (a *Agent) SetDown(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if down && !a.down {
+		a.outages++
+	}
+	a.down = down
+	a.c.Log("discovery: down %v", down)
+}
+
+// state returns whether discovery is down and how often it has gone down.
+func (a *Agent) state() (down bool, outages int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.down, a.outages
+}
+
 // ServeHTTP implements http.Handler.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/catalog/members" {
@@ -102,9 +123,11 @@
 	if err != nil {
 		from = -1
 	}
+	down, outages := a.state()
+	a.c.Log("discovery: a call from version %d, down %v", from, down)
 	hold, _ := strconv.ParseInt(r.URL.Query().Get("hold_ms"), 10, 64)
 	list, changed := a.answer(from)
-	if !list.Snapshot && len(list.Endpoints) == 0 {
+	if !down && !list.Snapshot && len(list.Endpoints) == 0 {
 		select {
 		case <-changed:
 		case <-time.After(time.Duration(hold) * time.Millisecond):
@@ -113,6 +136,11 @@
 		}
 		list, _ = a.answer(from)
 	}
+	if _, now := a.state(); down || now != outages {
+		<-r.Context().Done()
+		a.c.Log("discovery: the proxy has given up a call from version %d", from)
+		return
+	}
 	data, _ := json.Marshal(list)
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(data)
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -40,6 +40,8 @@
 	Known                            *List // nil for none
 	MemoryMB, Sockets                int
 	Ordinal, Siblings                int
+	Membership                       string // automatic or subscribe
+	DrainGraceUs                     int
 	Zone                             int
 	Classes                          []Class
 	Tenants                          []map[string]any
@@ -53,7 +55,7 @@
 			"blend":   map[string]any{"whole": 0.35, "worst_class": 0.2, "worst_tenant": 0.1, "worst_window": 0.35},
 			"clients": map[string]any{"marks_retry": true},
 			"contract": map[string]any{"answer_slack_us": 20000, "ask_every_us": 10000000, "cold_us": 8400000,
-				"drain_grace_us": 300000, "fall_us": 1000000, "start_capacity": 0.31, "tip_multiple": 3.0},
+				"drain_grace_us": c.DrainGraceUs, "fall_us": 1000000, "start_capacity": 0.31, "tip_multiple": 3.0},
 			"counted_by":      "request",
 			"extra":           map[string]any{"passes_deadline": true},
 			"failure_domains": []string{"town-hall", "pump-station", "depot"},
@@ -62,7 +64,7 @@
 				"dial_timeout_us": 250000, "idle_close_us": 30000000, "max_retry_after_us": 2000000, "most_held": 20000,
 				"peers": false, "probes": true, "retry_after": true, "second_copies": true, "streams_per_conn": 1,
 				"try_limit": 4},
-			"membership_mode": "automatic", "my_zone": c.Zone, "ordinal": c.Ordinal, "over_share_worth": 0.2,
+			"membership_mode": c.Membership, "my_zone": c.Zone, "ordinal": c.Ordinal, "over_share_worth": 0.2,
 			"period_us": 5000, "profiles": c.Classes, "report": map[string]any{"fields": []string{"waiting", "rps"},
 				"how": "on_probe"},
 			"service_type": "chain", "siblings": c.Siblings, "stage": 0, "tenants": c.Tenants,
--- a/review/standin2/small.go
+++ b/review/standin2/small.go
@@ -14,7 +14,7 @@
 		return Config{}, err
 	}
 	return Config{Name: "n1", Listen: listen, Discovery: agent.Address, Known: agent.List(), MemoryMB: 64, Sockets: 512,
-		Siblings: 1, Classes: []Class{Ticket, Meter}, Tenants: []map[string]any{
+		Siblings: 1, Membership: "automatic", DrainGraceUs: 300000, Classes: []Class{Ticket, Meter}, Tenants: []map[string]any{
 			{"name": "billing", "portion": 0.5, "quota_per_s": 60.0}, {"name": "meters", "portion": 0.5, "quota_per_s": 60.0}}}, nil
 }
 
