--- a/review/6/main.go
+++ b/review/6/main.go
@@ -25,7 +25,7 @@
 	waves     = 4
 	peers     = 240 // of a wave; the proxy has 512 descriptors
 	wave      = 3 * time.Second
-	headBytes = 16 << 10 // of a peer; the proxy accepts heads of this size
+	headBytes = 19 << 10 // of a peer; the proxy accepts heads of up to 20 KiB
 
 	watchInterval = 10 * time.Millisecond
 	bytesPerKB    = 1 << 10
--- a/review/standin2/backend.go
+++ b/review/standin2/backend.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 )
 
 // Backend is a server of the tier. It keeps connections alive and serves one request at a time on each.
@@ -71,8 +70,9 @@
 	}
 }
 
-// Reset resets all connections, as the death of the process does.
-func (b *Backend) Reset() {
+// End ends the backend's process: its connections are reset, and new ones are refused.
+func (b *Backend) End() {
+	b.listener.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for conn := range b.conns {
@@ -80,6 +80,3 @@
 		conn.Close()
 	}
 }
-
-// Sleep waits until a time.
-func Sleep(until time.Time) { time.Sleep(time.Until(until)) }
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -11,7 +11,10 @@
 	"time"
 )
 
-const readyTimeout = 20 * time.Second
+const (
+	readyTimeout   = 20 * time.Second
+	healthInterval = 20 * time.Millisecond
+)
 
 // Class is one class of requests in the settings.
 type Class struct {
@@ -36,15 +39,15 @@
 
 // Config is the configuration of one proxy.
 type Config struct {
-	Name, Listen, Console, Discovery string
-	Known                            *List // nil for none
-	MemoryMB, Sockets                int
-	Ordinal, Siblings                int
-	Membership                       string // automatic or subscribe
-	DrainGraceUs                     int
-	Zone                             int
-	Classes                          []Class
-	Tenants                          []map[string]any
+	Name, Listen, Discovery string
+	Known                   *List // nil for none
+	MemoryMB, Sockets       int
+	Ordinal, Siblings       int
+	Membership              string // automatic or subscribe
+	DrainGraceUs            int
+	Zone                    int
+	Classes                 []Class
+	Tenants                 []map[string]any
 }
 
 func (c Config) json() ([]byte, error) {
@@ -71,9 +74,6 @@
 			"tiers": []string{"intake", "transcribe"}, "weights": "off",
 		},
 	}
-	if c.Console != "" {
-		config["console"] = c.Console
-	}
 	if c.Known != nil {
 		config["known"] = c.Known
 	}
@@ -86,25 +86,16 @@
 	Address string
 	Exited  chan struct{} // closed when the process has ended
 
-	file    string
 	command *exec.Cmd
 }
 
-// WriteConfig writes the configuration to a file in the temporary folder, whole or not at all.
-func (c *Case) WriteConfig(file string, config Config) error {
+// StartProxy starts a process with the command of the deploy file. Its log goes to the record. tempDir is its $TMPDIR.
+func (c *Case) StartProxy(config Config, file, tempDir string) (*Proxy, error) {
 	data, err := config.json()
 	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(file+".new", data, 0o600); err != nil {
-		return err
+		return nil, err
 	}
-	return os.Rename(file+".new", file)
-}
-
-// StartProxy starts a process with the command of the deploy file. Its log goes to the record. tempDir is its $TMPDIR.
-func (c *Case) StartProxy(config Config, file, tempDir string) (*Proxy, error) {
-	if err := c.WriteConfig(file, config); err != nil {
+	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return nil, err
 	}
 	if err := os.MkdirAll(tempDir, 0o700); err != nil {
@@ -120,7 +111,7 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	p := &Proxy{Config: config, Address: config.Listen, Exited: make(chan struct{}), file: file, command: command}
+	p := &Proxy{Config: config, Address: config.Listen, Exited: make(chan struct{}), command: command}
 	go func() {
 		err := command.Wait()
 		c.Log("proxy %s ended: %v", config.Name, err)
@@ -150,23 +141,12 @@
 
 // WaitHealthy waits until the proxy answers its health check with 200.
 func (p *Proxy) WaitHealthy() error {
-	return waitOK("http://"+p.Address+"/_health", p.Exited)
-}
-
-// WaitReady waits until the console of the process says yes to _ready.
-func (p *Proxy) WaitReady() error {
-	return waitOK("http://"+p.Config.Console+"/_ready", p.Exited)
-}
-
-func waitOK(url string, exited chan struct{}) error {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		select {
-		case <-exited:
-			return fmt.Errorf("%s: the proxy has ended", url)
-		default:
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(healthInterval) {
+		if p.HasExited() {
+			return fmt.Errorf("proxy %s has ended", p.Config.Name)
 		}
-		response, err := client.Get(url)
+		response, err := client.Get("http://" + p.Address + "/_health")
 		if err == nil {
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
@@ -174,7 +154,7 @@
 			}
 		}
 	}
-	return fmt.Errorf("%s: not ready in time", url)
+	return fmt.Errorf("proxy %s is not healthy in time", p.Config.Name)
 }
 
 // logWriter copies the log of a proxy to the record.
--- a/review/standin2/small.go
+++ b/review/standin2/small.go
@@ -7,7 +7,7 @@
 // Zones are the zones of larissa-main.
 var Zones = []string{"town-hall", "pump-station", "depot"}
 
-// SmallConfig returns the configuration of the only proxy of a small deployment, without addresses of a console.
+// SmallConfig returns the configuration of the only proxy of a small deployment.
 func (c *Case) SmallConfig(agent *Agent) (Config, error) {
 	listen, err := FreeAddress()
 	if err != nil {
