Reject OPTIONS * and other methods of the health check instead of serving them

Callers saw 200 with an empty body for OPTIONS *, and for HEAD, POST and OPTIONS of /_health, though no backend had run anything. Cause: net/http answers OPTIONS * before the handler is called, unless DisableGeneralOptionsHandler is set, and the health check looked at the path only. Change: the client server and the console set DisableGeneralOptionsHandler, and only GET of /_health is a health check.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -65,6 +65,8 @@
 		MaxHeaderBytes:    maxHeadBytes,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnContext:       clientconn.ConnContext,
+		// net/http would answer OPTIONS * itself with 200, as though a call had succeeded.
+		DisableGeneralOptionsHandler: true,
 		// A connection becomes active when handle has read the complete call, so that one that still waits for the body
 		// can be evicted.
 		ConnState: func(connection net.Conn, state http.ConnState) {
--- a/internal/downstream/health.go
+++ b/internal/downstream/health.go
@@ -14,6 +14,12 @@
 	return s.dispatcher.Ready() && !s.lameDuck.Load() && (!s.draining.Load() || s.takenOver.Load())
 }
 
+// isHealthCheck reports whether a request is a health check. With any other method, a request for the path of health checks
+// is invalid, like one for any path that does not begin with a request class.
+func isHealthCheck(r *http.Request) bool {
+	return r.Method == http.MethodGet && r.URL.Path == healthPath
+}
+
 func (s *Server) serveHealthCheck(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 { // the body is not read, so the connection cannot carry another request
 		w.Header().Set("Connection", "close")
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -84,6 +84,9 @@
 		ConnContext:       clientconn.ConnContext,
 		ConnState:         s.connections.TrackState,
 		ErrorLog:          slog.NewLogLogger(options.Log.Handler(), slog.LevelDebug), // errors caused by clients
+
+		// net/http would answer OPTIONS * itself with 200, as though a request had been served.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
@@ -115,7 +118,7 @@
 // ServeHTTP answers a health check, or forwards a request and writes its response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
-	if r.URL.Path == healthPath {
+	if isHealthCheck(r) {
 		s.serveHealthCheck(w, r)
 		return
 	}
--- a/internal/proxy/console_test.go
+++ b/internal/proxy/console_test.go
@@ -100,6 +100,7 @@
 		{"GET /_ready?x=1", "", 404},
 		{"POST /_ready", "", 405},
 		{"GET /_health", "", 404},
+		{"OPTIONS *", "", 404},
 		{"GET /", "", 404},
 		{"GET /_backends/detach", "", 405},
 		{"POST /_backends/detach", "", 400},
--- a/internal/proxy/validation_test.go
+++ b/internal/proxy/validation_test.go
@@ -72,6 +72,32 @@
 	}
 }
 
+// Guards against an invalid request that the proxy answers with 200 although no backend has run it.
+func TestProxyServesOnlyRequestsThatBackendRuns(t *testing.T) {
+	p, b := startProxyAndBackend(t, backendtest.Respond(backendtest.OK, true))
+	for line, want := range map[string]int{
+		"OPTIONS *":             400,
+		"OPTIONS /look/k":       405,
+		"OPTIONS /_health":      400,
+		"HEAD /_health":         400,
+		"POST /_health":         400,
+		"GET /_health/../look":  400,
+		"GET http://h/_health2": 400,
+	} {
+		t.Run(line, func(t *testing.T) {
+			c := connect(t, p)
+			c.send(t, strings.Replace(lookRequest("1", 4000), "GET /look/k", line, 1))
+			resp, err := http.ReadResponse(c.r, &http.Request{Method: strings.Fields(line)[0]})
+			if err != nil || resp.StatusCode != want || !resp.Close {
+				t.Errorf("got %+v, %v, want %d and a closed connection", resp, err, want)
+			}
+		})
+	}
+	if n := b.Requests.Load(); n != 0 {
+		t.Errorf("%d requests were forwarded", n)
+	}
+}
+
 // A connection is closed by a timeout if no request arrives on it, or if the request is never complete.
 func TestProxyClosesUnfinishedRequests(t *testing.T) {
 	p, b := startProxyAndBackend(t, backendtest.Respond(backendtest.OK, true))
