Check the framing of a head that follows empty lines

Callers saw 200 for a request with both Content-Length and Transfer-Encoding if two line breaks stood before it, after a POST. Cause: requestHead.record took the line breaks for a complete head, but net/http skips them and parses the request behind. Change: line breaks before a head are not recorded.

--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -36,6 +36,12 @@
 	if h.complete {
 		return
 	}
+	if len(h.incomplete) == 0 {
+		b = bytes.TrimLeft(b, "\r\n") // net/http skips empty lines before a request
+	}
+	if len(b) == 0 {
+		return
+	}
 	if len(h.incomplete) > 0 {
 		h.incomplete = append(h.incomplete, b...)
 		b = h.incomplete
--- a/internal/clientconn/head_test.go
+++ b/internal/clientconn/head_test.go
@@ -21,6 +21,9 @@
 		"two framings":         {[]string{start + "Content-Length: 3\r\nTRANSFER-encoding: chunked\r\n\r\n"}, true, false},
 		"framings in pieces":   {[]string{start + "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n\r\n"}, true, false},
 		"second framing after": {[]string{start + "Content-Length: 30\r\n\r\nTransfer-Encoding: chunked\r\n\r\n"}, true, true},
+		"empty line":           {[]string{"\r\n"}, false, false},
+		"after empty lines":    {[]string{"\r\n\r", "\n" + start + "\r\n"}, true, true},
+		"two after empty line": {[]string{"\r\n\r\n" + start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"}, true, false},
 		"too long":             {[]string{start + strings.Repeat("x", 2*MaxHead), "\r\n\r\n"}, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proxy/validation_test.go
+++ b/internal/proxy/validation_test.go
@@ -98,6 +98,28 @@
 	}
 }
 
+// Guards against request smuggling: a head with two framings that was not checked because empty lines precede it.
+func TestProxyRejectsTwoFramingsAfterEmptyLines(t *testing.T) {
+	p, b := startProxyAndBackend(t, backendtest.Respond(backendtest.OK, true))
+	for name, empty := range map[string]string{"one": "\r\n", "two": "\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			before := b.Requests.Load()
+			c := connect(t, p)
+			c.send(t, shortPost("1"))
+			if resp, _ := c.readResponse(t); resp.StatusCode != 200 {
+				t.Fatalf("got %s for the valid request, want 200", resp.Status)
+			}
+			c.send(t, empty+postHead("2", "Content-Length: 4\r\nTransfer-Encoding: chunked")+"0\r\n\r\n")
+			if resp, _ := c.readResponse(t); resp.StatusCode != 400 || !resp.Close {
+				t.Errorf("got %s, close %v, want 400 and a closed connection", resp.Status, resp.Close)
+			}
+			if n := b.Requests.Load() - before; n != 1 {
+				t.Errorf("%d requests were forwarded, want only the valid one", n)
+			}
+		})
+	}
+}
+
 // A connection is closed by a timeout if no request arrives on it, or if the request is never complete.
 func TestProxyClosesUnfinishedRequests(t *testing.T) {
 	p, b := startProxyAndBackend(t, backendtest.Respond(backendtest.OK, true))
