Limit the memory of request heads, and reject a large head with 503 beyond it

Callers saw a proxy killed for its memory: 240 peers with heads of 19 KB in some 3,800 short fields, each without its body, took one of 64 MB over its limit. Cause: heads were limited in bytes only, a parsed field takes some 70 bytes beside its text, and parsed heads live until the request is answered. Change: clientconn.headMemory estimates a head's memory as it arrives, before net/http parses it. The first 8 KB of a connection are free, so ordinary requests don't depend on other clients; the rest comes from a budget of a sixteenth of the memory limit. Not chosen: a limit on the number of fields, since 1,024 fields on each of 538 connections are still over 32 MB.

--- a/internal/backendtest/backendtest.go
+++ b/internal/backendtest/backendtest.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,3 +134,11 @@
 		}
 	}
 }
+
+// LiveMemory returns the bytes of the heap and the stacks that are in use after a garbage collection.
+func LiveMemory() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -4,15 +4,23 @@
 	"container/list"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"baylock/internal/message"
 	"baylock/internal/socket"
 )
 
+// noMemoryResponse is the response to a request whose head is rejected for lack of memory.
+const noMemoryResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// errNoHeadMemory reports a head that was rejected because Options.HeadBudget does not allow it.
+var errNoHeadMemory = errors.New("no memory for the head of a request")
+
 // Conn is a connection from a client. Its methods are safe for concurrent use.
 type Conn struct {
 	net.Conn
@@ -21,6 +29,7 @@
 	lastRead      atomic.Int64 // Unix nanoseconds; 0 before the first read
 	servedRequest atomic.Bool
 	head          requestHead
+	headMemory    headMemory
 
 	writeStallTimeout atomic.Int64 // nanoseconds; 0 if writes have a deadline instead
 
@@ -45,14 +54,18 @@
 
 // RequestRead has to be called when a request has been read completely, so that the bytes after it are recorded as the
 // head of the next request.
-func (c *Conn) RequestRead() { c.head.reset() }
+func (c *Conn) RequestRead() {
+	c.headMemory.requestRead()
+	c.head.reset()
+}
 
 // ClientGone reports whether the client has closed or reset the connection, even if bytes that it sent before are still
 // unread.
 func (c *Conn) ClientGone() bool { return socket.PeerClosed(c) }
 
-// Read implements net.Conn. It also records when bytes arrive, and the heads of requests. Bytes that arrived before the
-// read deadline are returned after it as well: package net fails such a read, but it is this process that is late.
+// Read implements net.Conn. It also records when bytes arrive, and the heads of requests, and rejects a head for which there
+// is no memory. Bytes that arrived before the read deadline are returned after it as well: package net fails such a read, but
+// it is this process that is late.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -60,12 +73,30 @@
 	}
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
-		c.head.record(b[:n])
+		headBytes := c.head.record(b[:n])
 		c.listener.signalCapacity()
+		if !c.headMemory.add(b[:headBytes]) {
+			return 0, c.rejectHead(b)
+		}
 	}
 	return n, err
 }
 
+// rejectHead answers the request whose head is arriving with noMemoryResponse. Then it discards what the client still sends
+// during message.DiscardTimeout: a close with unread bytes would reset the connection, and the client could lose the
+// response. The buffer is used for that. The error that rejectHead returns makes net/http close the connection.
+func (c *Conn) rejectHead(buffer []byte) error {
+	_ = c.Conn.SetDeadline(time.Now().Add(message.DiscardTimeout))
+	_, err := io.WriteString(c.Conn, noMemoryResponse)
+	if err == nil {
+		err = c.CloseWrite()
+	}
+	for err == nil {
+		_, err = c.Conn.Read(buffer)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: errNoHeadMemory} // net/http does not answer after an OpError
+}
+
 // LimitWriteStalls replaces the write deadline, until the next call of SetWriteDeadline: writes fail only when the client
 // has accepted no bytes for the timeout. net/http sets a write deadline for each request.
 func (c *Conn) LimitWriteStalls(timeout time.Duration) { c.writeStallTimeout.Store(int64(timeout)) }
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -29,18 +29,19 @@
 	h.incomplete, h.complete, h.valid = nil, false, false
 }
 
-// record adds bytes that have arrived.
-func (h *requestHead) record(b []byte) {
+// record adds bytes that have arrived. It returns how many of them belong to the head or precede it.
+func (h *requestHead) record(arrived []byte) (headBytes int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.complete {
-		return
+		return 0
 	}
+	b := arrived
 	if len(h.incomplete) == 0 {
 		b = bytes.TrimLeft(b, "\r\n") // net/http skips empty lines before a request
 	}
 	if len(b) == 0 {
-		return
+		return len(arrived)
 	}
 	if len(h.incomplete) > 0 {
 		h.incomplete = append(h.incomplete, b...)
@@ -48,11 +49,14 @@
 	}
 	if end := bytes.Index(b, headEnd); end >= 0 {
 		h.incomplete, h.complete, h.valid = nil, true, !message.HasConflictingFraming(b[:end])
-	} else if len(b) > 2*MaxHead { // net/http has rejected it
+		return len(arrived) - (len(b) - end - len(headEnd))
+	}
+	if len(b) > 2*MaxHead { // net/http has rejected it
 		h.incomplete, h.complete = nil, true
 	} else if len(h.incomplete) == 0 {
 		h.incomplete = bytes.Clone(b)
 	}
+	return len(arrived)
 }
 
 // started reports whether any of the head has arrived.
--- a/internal/clientconn/listener.go
+++ b/internal/clientconn/listener.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"baylock/internal/message"
 	"baylock/internal/socket"
 )
 
@@ -23,6 +24,10 @@
 	// zero, an incomplete request that has been read does not protect its connection.
 	RequestGrace time.Duration
 
+	// HeadBudget limits the memory of heads that are larger than usual, of all connections together. A head that it does not
+	// allow is answered with 503. Nil means no limit.
+	HeadBudget *message.Budget
+
 	// WaitForCapacity makes a new connection wait while none can be evicted, instead of being closed at once.
 	WaitForCapacity bool
 }
@@ -37,6 +42,7 @@
 type Listener struct {
 	net.Listener
 	requestGrace    time.Duration
+	headBudget      *message.Budget
 	waitForCapacity bool
 	capacity        chan struct{} // holds a value when there may be capacity for a waiting connection
 	closed          chan struct{} // closed with the listener
@@ -62,6 +68,7 @@
 	return &Listener{
 		Listener:        inner,
 		requestGrace:    options.RequestGrace,
+		headBudget:      options.HeadBudget,
 		waitForCapacity: options.WaitForCapacity,
 		capacity:        make(chan struct{}, 1),
 		closed:          make(chan struct{}),
@@ -110,6 +117,7 @@
 		}
 	}
 	c := &Conn{Conn: inner, listener: l, acceptedAt: time.Now()}
+	c.headMemory.reservation = l.headBudget.Reserve()
 	l.connections[c] = c
 	l.moveLocked(c, l.unused)
 	return c
@@ -152,6 +160,7 @@
 		l.moveLocked(c, nil)
 	case http.StateIdle:
 		c.servedRequest.Store(true)
+		c.headMemory.requestDone()
 		l.moveLocked(c, l.idle)
 	case http.StateClosed, http.StateHijacked:
 		l.removeLocked(c)
@@ -171,6 +180,7 @@
 
 func (l *Listener) removeLocked(c *Conn) {
 	l.moveLocked(c, nil)
+	c.headMemory.release()
 	delete(l.connections, c)
 	l.signalCapacity()
 }
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -50,7 +50,7 @@
 func (fakeSettings) TenantIndex(string) int { return -1 }
 
 func newTestServer(d Dispatcher) *Server {
-	budget := &message.Budget{}
+	budget := message.NewBodyBudget()
 	budget.SetLimit(0)
 	return NewServer(Options{
 		Listener:   clientconn.NewListener(nil, clientconn.Options{MaxConnections: 1}),
--- a/internal/message/budget.go
+++ b/internal/message/budget.go
@@ -5,18 +5,29 @@
 const (
 	bytesPerMB = 1 << 20
 
-	budgetDivisor   = 8       // buffered bodies may use the memory limit divided by this
+	bodiesDivisor   = 8       // buffered bodies may use the memory limit divided by this
+	headsDivisor    = 16      // heads of requests may use the memory limit divided by this
 	defaultMemoryMB = 64      // assumed if no memory limit is set
-	minBudget       = 2 << 20 // bytes
+	minBodies       = 2 << 20 // bytes
+	minHeads        = 1 << 20 // bytes
 )
 
-// Budget limits the memory used by all buffered bodies of a process. It is safe for concurrent use.
+// Budget limits the memory that a process uses for one purpose, for all requests together. It is safe for concurrent use.
 type Budget struct {
+	divisor int64 // the process's memory limit is divided by it
+	least   int64 // bytes that are allowed whatever the memory limit is
+
 	mu    sync.Mutex // guards the fields below
 	limit int64      // bytes
 	used  int64      // bytes
 }
 
+// NewBodyBudget returns a budget for buffered bodies. It allows nothing until SetLimit is called.
+func NewBodyBudget() *Budget { return &Budget{divisor: bodiesDivisor, least: minBodies} }
+
+// NewHeadBudget returns a budget for the heads of requests. It allows nothing until SetLimit is called.
+func NewHeadBudget() *Budget { return &Budget{divisor: headsDivisor, least: minHeads} }
+
 // SetLimit derives the budget from the process's memory limit in MB; 0 means that no limit is set.
 func (b *Budget) SetLimit(memoryMB float64) {
 	if memoryMB == 0 {
@@ -24,7 +35,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = max(minBudget, int64(memoryMB*bytesPerMB)/budgetDivisor)
+	b.limit = max(b.least, int64(memoryMB*bytesPerMB)/b.divisor)
 }
 
 // Limit returns how many bytes the budget allows.
@@ -41,11 +52,16 @@
 	return b.used
 }
 
-// Reserve returns an empty reservation for the bodies of one request.
-func (b *Budget) Reserve() *Reservation { return &Reservation{budget: b} }
+// Reserve returns an empty reservation. That of a nil Budget is nil.
+func (b *Budget) Reserve() *Reservation {
+	if b == nil {
+		return nil
+	}
+	return &Reservation{budget: b}
+}
 
-// Reservation is the part of a Budget that the bodies of one request use, until Release is called. A nil Reservation
-// is unlimited.
+// Reservation is the part of a Budget that one user, a request or a connection, has reserved until Release is called. A nil
+// Reservation is unlimited.
 type Reservation struct {
 	budget   *Budget
 	bytes    int64 // guarded by budget.mu, as is released
@@ -60,7 +76,23 @@
 	}
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
-	if r.released || r.budget.used+n > r.budget.limit {
+	return r.growLocked(n)
+}
+
+// Resize makes the reservation n bytes large. It reports false, with nothing changed, if the budget does not allow that or
+// the reservation has been released. It always allows a reservation to shrink.
+func (r *Reservation) Resize(n int64) bool {
+	if r == nil {
+		return true
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	return r.growLocked(n - r.bytes)
+}
+
+// growLocked adds n bytes to the reservation, or removes -n if n is negative.
+func (r *Reservation) growLocked(n int64) bool {
+	if r.released || n > 0 && r.budget.used+n > r.budget.limit {
 		return false
 	}
 	r.budget.used += n
@@ -70,6 +102,9 @@
 
 // Release returns all reserved bytes to the budget. Later calls of Grow fail, and later calls of Release do nothing.
 func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	r.budget.used -= r.bytes
--- a/internal/message/buffer_test.go
+++ b/internal/message/buffer_test.go
@@ -35,7 +35,7 @@
 			if c.end != nil {
 				reader = io.MultiReader(reader, iotest.ErrReader(c.end))
 			}
-			var budget Budget
+			budget := NewBodyBudget()
 			budget.SetLimit(0)
 			body, complete, err := ReadBuffered(reader, c.length, budget.Reserve(), c.until)
 			if complete != c.complete || !errors.Is(err, c.err) {
@@ -56,7 +56,7 @@
 }
 
 func TestReadBufferedStopsAtBudget(t *testing.T) {
-	var budget Budget
+	budget := NewBodyBudget()
 	budget.SetLimit(0)
 	all := budget.Reserve()
 	if !all.Grow(budget.Limit()) {
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -25,7 +25,8 @@
 type resourceLimits struct {
 	clients *clientconn.Listener
 	pool    *upstream.Pool
-	budget  *message.Budget
+	budget  *message.Budget // of buffered bodies
+	heads   *message.Budget // of the heads of requests
 
 	mu            sync.Mutex // held while limits are applied; guards the fields below
 	limits        config.Limits
@@ -59,6 +60,7 @@
 	r.clients.SetMaxConnections(limits.ClientConnections())
 	r.pool.SetMaxOpen(backends)
 	r.budget.SetLimit(limits.MemoryMB)
+	r.heads.SetLimit(limits.MemoryMB)
 	r.limitRuntimeMemoryLocked(limits.MemoryMB)
 	if cores := int(math.Ceil(limits.Cores)); cores > 0 && cores != runtime.GOMAXPROCS(0) {
 		runtime.GOMAXPROCS(cores)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -73,14 +73,17 @@
 // wire creates the proxy's components and connects them.
 func (p *Proxy) wire(b *balancer.Balancer, zones discovery.Zones, snapshot *config.Snapshot) {
 	clients, backends := p.config.Limits.Connections()
+	heads := message.NewHeadBudget()
 	p.clients = clientconn.NewListener(nil, clientconn.Options{
 		MaxConnections: clients,
 		RequestGrace:   clientconn.RequestGrace,
+		HeadBudget:     heads,
 	})
 	p.limits = &resourceLimits{
 		clients: p.clients,
 		pool:    upstream.NewPool(p.config.Site.DialTimeout, p.config.Site.IdleClose, backends),
-		budget:  &message.Budget{},
+		budget:  message.NewBodyBudget(),
+		heads:   heads,
 		limits:  p.config.Limits,
 	}
 	p.loop = newEventLoop(b, zones, p.limits, snapshot, p.log)
