Drop the trailers of a request when they have been read

They are not forwarded, but stayed in memory until the response: up to 4 KB with some 800 fields for each request in flight, and as many names as a head can announce.

--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -14,6 +14,13 @@
 // arrives. Its errors are of type *requestError.
 func readBody(w http.ResponseWriter, r *http.Request, request *upstream.Request, connection *clientconn.Conn,
 	arrivedAt time.Time) error {
+	bodyRead := func() {
+		r.Trailer = nil // received trailers are not forwarded
+		if connection != nil {
+			connection.RequestRead()
+		}
+	}
+	r.Trailer = nil // announced trailers are not needed, and a head can announce thousands
 	control := http.NewResponseController(w)
 	stream := message.NewRequestStream(r.Body, r.ContentLength, control, bodyStart(connection, arrivedAt))
 	body, complete, err := stream.Buffer(request.Reservation)
@@ -25,18 +32,14 @@
 	}
 	request.Body = body
 	if complete {
-		if connection != nil {
-			connection.RequestRead()
-		}
+		bodyRead()
 		// Until the response is written, net/http keeps reading to notice when the client disconnects. That read must
 		// not time out.
 		_ = control.SetReadDeadline(time.Time{})
 		return nil
 	}
 	request.Stream = stream
-	if connection != nil {
-		stream.SetEndHook(connection.RequestRead)
-	}
+	stream.SetEndHook(bodyRead)
 	_ = control.EnableFullDuplex() // the response may begin before the body has ended
 	return nil
 }
