Drop the unused fields of a response while its body arrives

A response head of 8 KB can have 1,600 fields, which stayed in memory until the response had been forwarded.

--- a/internal/upstream/forward_test.go
+++ b/internal/upstream/forward_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -100,6 +101,28 @@
 	}
 }
 
+// Guards against the fields of response heads, of which each can have more than a thousand, that stay in memory for as long
+// as the responses are forwarded.
+func TestForwardedResponsesKeepNoUnusedFields(t *testing.T) {
+	const responses, maxPerResponse = 100, 64 << 10 // bytes
+	head := bytes.NewBufferString("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\nContent-Type: text/x\r\nTrailer: a\r\n")
+	for i := 0; head.Len() < maxResponseHead-100; i++ {
+		fmt.Fprintf(head, "%03x:\r\n", i)
+	}
+	p := newTestPool(responses, backendtest.Start(t, backendtest.Respond(head.String()+"\r\n", true)).Address)
+	before := backendtest.LiveMemory()
+	for range responses {
+		a, response, results := startLongResponse(t, p)
+		if response.ContentType != "text/x" {
+			t.Fatalf("the type of the response is %q", response.ContentType)
+		}
+		defer func() { a.cancel(); backendtest.Receive(t, "result", results) }()
+	}
+	if grown := backendtest.LiveMemory() - before; grown > responses*maxPerResponse {
+		t.Errorf("%d kB are in use for each response", grown/responses>>10)
+	}
+}
+
 func TestCancelledAttemptStopsForwarding(t *testing.T) {
 	p := newTestPool(4, backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("x", 100_000))
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	notStartedHeader = "Not-Started" // 1 means that the request was rejected before it ran
+	notStartedHeader  = "Not-Started" // 1 means that the request was rejected before it ran
+	contentTypeHeader = "Content-Type"
 
 	maxResponseHead  = 8 << 10 // bytes
 	maxInformational = 8       // 1xx responses before the final one
@@ -93,12 +94,26 @@
 			return nil, err
 		}
 		if response.StatusCode >= 200 {
+			dropUnusedFields(response)
 			return response, nil
 		}
 	}
 	return nil, errTooManyInformational
 }
 
+// dropUnusedFields frees the memory of a response's header but for the fields that are used. A head can have more than a
+// thousand fields, and the body may take long to arrive. The fields that remain are copied, because those that net/http
+// parses share their memory.
+func dropUnusedFields(response *http.Response) {
+	used := http.Header{}
+	for _, name := range []string{notStartedHeader, contentTypeHeader} {
+		if value := response.Header.Get(name); value != "" {
+			used.Set(name, value)
+		}
+	}
+	response.Header, response.Trailer = used, nil
+}
+
 // checkHead checks the next response head without consuming it. The check needs the raw bytes, because a head parsed by
 // net/http no longer shows whether it had two conflicting framings.
 func (c *conn) checkHead() error {
@@ -127,7 +142,7 @@
 func classify(response *http.Response, body []byte, quiet bool) Result {
 	switch code := response.StatusCode; {
 	case code == http.StatusOK:
-		return Result{Status: balancer.OK, Body: body, ContentType: response.Header.Get("Content-Type")}
+		return Result{Status: balancer.OK, Body: body, ContentType: response.Header.Get(contentTypeHeader)}
 	case code == http.StatusServiceUnavailable, code == http.StatusGatewayTimeout:
 		if response.Header.Get(notStartedHeader) == "1" && quiet {
 			return Result{Status: balancer.Rejected}
@@ -146,7 +161,7 @@
 		Prefix:      prefix,
 		Body:        response.Body,
 		Length:      response.ContentLength,
-		ContentType: response.Header.Get("Content-Type"),
+		ContentType: response.Header.Get(contentTypeHeader),
 		Abort:       c.abort,
 		Done:        make(chan error, 1),
 	}
