Reject a request in chunks if the start of its head was not recorded

A head with two framings was served (200) if its first part, with Content-Length, came in one packet with the request before it: that part is in net/http's buffer, only the rest was recorded, and it looked valid. Change: the recorded head has to begin with the request line that net/http parsed.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -48,9 +48,9 @@
 // RequestStarted reports whether any bytes of the next request have arrived.
 func (c *Conn) RequestStarted() bool { return c.head.started() }
 
-// HasValidFraming reports whether the head of the current request is complete and defines the end of the body in only
-// one way.
-func (c *Conn) HasValidFraming() bool { return c.head.hasValidFraming() }
+// HasValidFraming reports whether the head of the current request, which begins with a request line, is complete and defines
+// the end of the body in only one way. It is false if the start of the head was not recorded.
+func (c *Conn) HasValidFraming(requestLine string) bool { return c.head.hasValidFraming(requestLine) }
 
 // RequestRead has to be called when a request has been read completely, so that the bytes after it are recorded as the
 // head of the next request.
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -19,14 +19,15 @@
 	mu         sync.Mutex // guards the fields below
 	incomplete []byte     // the bytes of the head so far, until it is complete
 	complete   bool
-	valid      bool // the head is complete, and defines the end of the body in only one way
+	valid      bool   // the head is complete, and defines the end of the body in only one way
+	line       []byte // first line of the complete head, without its end
 }
 
 // reset prepares for the next request's head.
 func (h *requestHead) reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.incomplete, h.complete, h.valid = nil, false, false
+	h.incomplete, h.complete, h.valid, h.line = nil, false, false, nil
 }
 
 // record adds bytes that have arrived. It returns how many of them belong to the head or precede it.
@@ -49,6 +50,8 @@
 	}
 	if end := bytes.Index(b, headEnd); end >= 0 {
 		h.incomplete, h.complete, h.valid = nil, true, !message.HasConflictingFraming(b[:end])
+		line, _, _ := bytes.Cut(b[:end], []byte("\r\n"))
+		h.line = bytes.Clone(line)
 		return len(arrived) - (len(b) - end - len(headEnd))
 	}
 	if len(b) > 2*MaxHead { // net/http has rejected it
@@ -66,8 +69,11 @@
 	return len(h.incomplete) > 0 || h.complete
 }
 
-func (h *requestHead) hasValidFraming() bool {
+// hasValidFraming reports whether the complete head, which begins with a request line, defines the end of the body in only
+// one way. If the first bytes of the head arrived together with the request before it, they are not recorded, and what is
+// recorded does not begin with the request line.
+func (h *requestHead) hasValidFraming(requestLine string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.valid
+	return h.valid && string(h.line) == requestLine
 }
--- a/internal/clientconn/head_test.go
+++ b/internal/clientconn/head_test.go
@@ -6,7 +6,8 @@
 )
 
 func TestRequestHeadReportsFraming(t *testing.T) {
-	const start = "POST / HTTP/1.1\r\nHost: h\r\n"
+	const requestLine = "POST / HTTP/1.1"
+	const start = requestLine + "\r\nHost: h\r\n"
 	for name, c := range map[string]struct {
 		pieces         []string
 		started, valid bool
@@ -24,6 +25,7 @@
 		"empty line":           {[]string{"\r\n"}, false, false},
 		"after empty lines":    {[]string{"\r\n\r", "\n" + start + "\r\n"}, true, true},
 		"two after empty line": {[]string{"\r\n\r\n" + start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"}, true, false},
+		"start is missing":     {[]string{"ST / HTTP/1.1\r\nHost: h\r\n\r\n"}, true, false},
 		"too long":             {[]string{start + strings.Repeat("x", 2*MaxHead), "\r\n\r\n"}, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -31,11 +33,11 @@
 			for _, piece := range c.pieces {
 				head.record([]byte(piece))
 			}
-			if head.started() != c.started || head.hasValidFraming() != c.valid {
-				t.Errorf("started %v, valid %v; want %v, %v", head.started(), head.hasValidFraming(), c.started, c.valid)
+			if head.started() != c.started || head.hasValidFraming(requestLine) != c.valid {
+				t.Errorf("started %v, valid %v; want %v, %v", head.started(), head.hasValidFraming(requestLine), c.started, c.valid)
 			}
 			head.reset()
-			if head.started() || head.hasValidFraming() {
+			if head.started() || head.hasValidFraming(requestLine) {
 				t.Error("reset did not clear the recorded head")
 			}
 		})
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -80,7 +80,8 @@
 	if !r.ProtoAtLeast(1, 1) { // net/http drops the Transfer-Encoding of older versions
 		return &requestError{status: http.StatusHTTPVersionNotSupported, reason: "HTTP/1.1 is required"}
 	}
-	if len(r.TransferEncoding) > 0 && (connection == nil || !connection.HasValidFraming()) {
+	requestLine := r.Method + " " + r.RequestURI + " " + r.Proto
+	if len(r.TransferEncoding) > 0 && (connection == nil || !connection.HasValidFraming(requestLine)) {
 		return badRequest("Content-Length and Transfer-Encoding conflict")
 	}
 	for _, name := range singleValueHeaders {
--- a/internal/proxy/validation_test.go
+++ b/internal/proxy/validation_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// Guards against request smuggling: a head with two framings whose start arrived together with the request before it.
+func TestProxyRejectsTwoFramingsInPipelinedHead(t *testing.T) {
+	p, b := startProxyAndBackend(t, backendtest.Respond(backendtest.OK, true))
+	c := connect(t, p)
+	head := postHead("2", "Content-Length: 4\r\nTransfer-Encoding: chunked")
+	start, rest, _ := strings.Cut(head, "Transfer-Encoding")
+	c.send(t, shortPost("1")+start)
+	if resp, _ := c.readResponse(t); resp.StatusCode != 200 {
+		t.Fatalf("got %s for the valid request, want 200", resp.Status)
+	}
+	c.send(t, "Transfer-Encoding"+rest+"0\r\n\r\n")
+	if resp, _ := c.readResponse(t); resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("got %s, close %v, want 400 and a closed connection", resp.Status, resp.Close)
+	}
+	if n := b.Requests.Load(); n != 1 {
+		t.Errorf("%d requests were forwarded, want only the valid one", n)
+	}
+}
+
 // A connection is closed by a timeout if no request arrives on it, or if the request is never complete.
 func TestProxyClosesUnfinishedRequests(t *testing.T) {
 	p, b := startProxyAndBackend(t, backendtest.Respond(backendtest.OK, true))
