--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -30,6 +30,7 @@
 	servedRequest atomic.Bool
 	head          requestHead
 	headMemory    headMemory
+	readAhead     readAhead
 
 	writeStallTimeout atomic.Int64 // nanoseconds; 0 if writes have a deadline instead
 
@@ -59,27 +60,58 @@
 	c.head.reset()
 }
 
+// isQuiet reports whether the connection is open and nothing has arrived that has not been passed on.
+func (c *Conn) isQuiet() bool { return c.readAhead.empty() && socket.IsQuiet(c) }
+
 // ClientGone reports whether the client has closed or reset the connection, even if bytes that it sent before are still
 // unread.
 func (c *Conn) ClientGone() bool { return socket.PeerClosed(c) }
 
 // Read implements net.Conn. It also records when bytes arrive, and the heads of requests, and rejects a head for which there
-// is no memory. Bytes that arrived before the read deadline are returned after it as well: package net fails such a read, but
-// it is this process that is late.
+// is no memory. It returns no bytes beyond the end of a head, and few beyond the end of a body, because net/http parses the
+// head that follows as soon as it has it.
 func (c *Conn) Read(b []byte) (int, error) {
+	if kept := c.readAhead.copyTo(b); kept > 0 {
+		n, err := c.pass(b[:kept])
+		c.readAhead.drop(n)
+		return n, err
+	}
+	received, err := c.receive(b)
+	if received == 0 {
+		return 0, err
+	}
+	n, err := c.pass(b[:received])
+	c.readAhead.keep(b[n:received])
+	return n, err
+}
+
+// receive reads from the socket. Bytes that arrived before the read deadline are returned after it as well: package net fails
+// such a read, but it is this process that is late.
+func (c *Conn) receive(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = socket.ReadArrived(c.Conn, b)
 	}
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
-		headBytes := c.head.record(b[:n])
 		c.listener.signalCapacity()
+	}
+	return n, err
+}
+
+// pass records what of b belongs to a head, and returns how many bytes of b net/http may have now.
+func (c *Conn) pass(b []byte) (int, error) {
+	headBytes := c.head.record(b)
+	if headBytes > 0 {
 		if !c.headMemory.add(b[:headBytes]) {
 			return 0, c.rejectHead(b)
 		}
+		return headBytes, nil
 	}
-	return n, err
+	if len(b) <= httpBufferSize {
+		return min(len(b), maxBodyPiece), nil
+	}
+	return len(b), nil // read into the body, without net/http's buffer
 }
 
 // rejectHead answers the request whose head is arriving with noMemoryResponse. Then it discards what the client still sends
--- a/internal/clientconn/evict.go
+++ b/internal/clientconn/evict.go
@@ -3,8 +3,6 @@
 import (
 	"container/list"
 	"time"
-
-	"baylock/internal/socket"
 )
 
 // unusedGrace is the age up to which an unused connection is evicted only if there is no idle one: its client may be
@@ -29,7 +27,7 @@
 	for e := candidates.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*Conn)
 		unreported := c.head.started() && now.Sub(time.Unix(0, c.lastRead.Load())) < l.requestGrace
-		if !unreported && socket.IsQuiet(c) {
+		if !unreported && c.isQuiet() {
 			l.closeLocked(c)
 			return true
 		}
@@ -44,7 +42,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.connections {
-		if l.expiredLocked(c, idleFor, unusedFor) && socket.IsQuiet(c) && !c.head.started() {
+		if l.expiredLocked(c, idleFor, unusedFor) && c.isQuiet() && !c.head.started() {
 			l.closeLocked(c)
 			continue
 		}
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -30,7 +30,8 @@
 	h.incomplete, h.complete, h.valid, h.line = nil, false, false, nil
 }
 
-// record adds bytes that have arrived. It returns how many of them belong to the head or precede it.
+// record adds bytes that have arrived. It returns how many of them belong to the head or precede it: none if the head was
+// complete before, otherwise at least one.
 func (h *requestHead) record(arrived []byte) (headBytes int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/proxy/head_memory_test.go
+++ b/internal/proxy/head_memory_test.go
@@ -53,6 +53,8 @@
 		"one long field":          shortFields(0) + "Long: " + strings.Repeat("x", 15<<10) + "\r\n" + bodyMissing,
 		"long target":             strings.Replace(shortFields(0), "/k", "/"+strings.Repeat("%41", 5<<10), 1) + bodyMissing,
 		"head that never ends":    shortFields(19 << 10),
+		"after a health check":    "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n" + shortFields(4000),
+		"after a body":            shortPost("1") + shortFields(3900),
 		"many announced trailers": shortFields(0) + "Transfer-Encoding: chunked\r\nTrailer: " + distinctNames(15<<10) + "\r\nRequest-Id: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
