Wait for a response whose backend pauses, as long as its request may

Callers saw 502 after 0.50 s for a long response in chunks whose backend stood still for 500 ms, though the request had run. Cause: until a response is forwarded, each read was limited to 500 ms, the longest pause of a healthy backend, also for requests that cannot be sent again. Change: Attempt.StallTimeout limits reads only if the request can be sent again, and is 1 s; otherwise only the deadline does. TestProxyWaitsForPausedResponse fails in three rows without the change (502, 502, 503) and passes with it.

--- a/internal/proxy/forwarding_test.go
+++ b/internal/proxy/forwarding_test.go
@@ -126,3 +126,40 @@
 		t.Errorf("reset: the client got %d bytes as a complete response", len(body))
 	}
 }
+
+// Guards against a long response that is thrown away because its backend pauses soon after the first piece, for as long as
+// a healthy backend may, or for longer if the request cannot be sent again.
+func TestProxyWaitsForPausedResponse(t *testing.T) {
+	const longestPause = 500 * time.Millisecond
+	const pieces, pieceBytes = 25, 8 << 10
+	p, b := startProxyAndBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		pause, _ := time.ParseDuration(r.URL.Query().Get("pause"))
+		for i := range pieces {
+			if i == 1 {
+				time.Sleep(pause)
+			}
+			_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", pieceBytes, strings.Repeat("x", pieceBytes))
+		}
+		_, err := io.WriteString(w, "0\r\n\r\n")
+		return err == nil
+	})
+	for name, text := range map[string]string{
+		"idempotent":     strings.Replace(lookRequest("1", 4000), "/k", fmt.Sprint("/k?pause=", longestPause), 1),
+		"not idempotent": strings.Replace(shortPost("2"), "/k", fmt.Sprint("/k?pause=", longestPause), 1),
+		"longer":         strings.Replace(shortPost("3"), "/k", fmt.Sprint("/k?pause=", 3*longestPause), 1),
+		"upload":         strings.Replace(incompletePost("4"), "/k", fmt.Sprint("/k?pause=", 3*longestPause), 1) + distinctText(230_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := b.Requests.Load()
+			c := connect(t, p)
+			c.send(t, text)
+			if resp, body := c.readResponse(t); resp.StatusCode != 200 || len(body) != pieces*pieceBytes {
+				t.Errorf("got %s with %d bytes, want 200 with %d", resp.Status, len(body), pieces*pieceBytes)
+			}
+			if n := b.Requests.Load() - before; n != 1 && name != "idempotent" { // a busy machine can make a pause longer
+				t.Errorf("%d attempts, want 1", n)
+			}
+		})
+	}
+}
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -45,6 +45,9 @@
 		completedAt:     r.CompletedAt,
 	}
 	a.Attempt = &upstream.Attempt{Request: r.Forwarded, Deadline: l.clock.Time(deadline), Observer: a}
+	if r.Idempotency != balancer.NotIdempotent {
+		a.StallTimeout = upstream.ResponseStallTimeout
+	}
 	if dedupDeadline != 0 {
 		a.DedupDeadline = l.clock.Time(dedupDeadline)
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -18,7 +18,11 @@
 	Target        Target
 	Deadline      time.Time // of the response; UploadFinished replaces it
 	DedupDeadline time.Time // of a retry: after it the endpoint may run the request a second time; zero for none
-	Observer      Observer  // required for streamed requests and for responses that may exceed the buffer
+	// StallTimeout limits each wait for further bytes of a response that has begun, so that the request can be sent again
+	// early. It has to be 0 if the request cannot be sent again: then only Deadline limits the response.
+	StallTimeout time.Duration
+
+	Observer Observer // required for streamed requests and for responses that may exceed the buffer
 
 	earlyResponse atomic.Bool // the endpoint sent bytes before the streamed request was completely written
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,7 +24,7 @@
 	written    bool          // set right before the first byte of its current use is written
 
 	stallTimeout time.Duration // time limit of each read; 0 for none
-	readDeadline time.Time     // overall limit of all reads while stallTimeout is set; zero for none
+	readDeadline time.Time     // overall limit of all reads; zero for none
 	aborted      atomic.Bool   // set by abort; all reads and writes fail
 }
 
@@ -40,19 +40,15 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
-// limitReads sets a time limit for each read and, unless it is zero, a common deadline for all reads. With a
-// stallTimeout of 0, Read sets no deadlines.
+// limitReads sets a time limit for each read and a common deadline for all reads. Zero means no limit. If both are zero, Read
+// leaves the read deadline of the connection as it is.
 func (c *conn) limitReads(stallTimeout time.Duration, deadline time.Time) {
 	c.stallTimeout, c.readDeadline = stallTimeout, deadline
 }
 
 // Read implements io.Reader and applies the limits that limitReads has set.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.stallTimeout > 0 {
-		deadline := time.Now().Add(c.stallTimeout)
-		if !c.readDeadline.IsZero() && c.readDeadline.Before(deadline) {
-			deadline = c.readDeadline
-		}
+	if deadline := c.nextReadDeadline(); !deadline.IsZero() {
 		_ = c.SetReadDeadline(deadline)
 		if c.aborted.Load() { // abort may have been called before SetReadDeadline replaced its deadline
 			return 0, os.ErrDeadlineExceeded
@@ -65,6 +61,18 @@
 	return n, err
 }
 
+// nextReadDeadline returns when a read that begins now fails, or zero if there is no limit.
+func (c *conn) nextReadDeadline() time.Time {
+	if c.stallTimeout == 0 {
+		return c.readDeadline
+	}
+	stalled := time.Now().Add(c.stallTimeout)
+	if !c.readDeadline.IsZero() && c.readDeadline.Before(stalled) {
+		return c.readDeadline
+	}
+	return stalled
+}
+
 // onlyStalled reports whether a read that failed at its deadline has exceeded the stall timeout alone. Bytes that arrived
 // within that timeout are still good if this process was too late to read them.
 func (c *conn) onlyStalled() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -47,7 +47,7 @@
 		// The last byte was not written, so the endpoint cannot have started to run the request.
 		return Result{Status: balancer.ConnectFailed}, false
 	}
-	result, keep, err = a.readResponse(ctx, c)
+	result, keep, err = a.readResponse(ctx, c, a.StallTimeout)
 	if err == nil {
 		return result, keep
 	}
@@ -63,7 +63,7 @@
 	if result, ok := a.upload(ctx, c); !ok {
 		return result, !c.written && !result.connectionUnusable
 	}
-	result, keep, err := a.readResponse(ctx, c)
+	result, keep, err := a.readResponse(ctx, c, 0) // the request cannot be sent again
 	if err != nil {
 		return Result{Status: a.readFailure(ctx)}, false
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -20,11 +20,13 @@
 	maxResponseHead  = 8 << 10 // bytes
 	maxInformational = 8       // 1xx responses before the final one
 
-	// responseStallTimeout limits each wait for the next bytes of a response that has begun. Without it, a response
-	// that is shorter than its announced length would never end.
-	responseStallTimeout = 500 * time.Millisecond
+	// forwardAfter is how long a response is buffered. If it is not complete by then, it is forwarded as it arrives.
+	forwardAfter = 500 * time.Millisecond
 )
 
+// ResponseStallTimeout is the usual value of Attempt.StallTimeout. It is twice as long as a healthy backend may pause.
+const ResponseStallTimeout = time.Second
+
 // Errors for responses that cannot be trusted.
 var (
 	errNoResponse           = errors.New("no response")
@@ -36,13 +38,14 @@
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]\b`)
 
 // readResponse reads the response. A short response is read completely before it is passed on, so that the client never
-// receives a broken one; a longer response is forwarded as it arrives. keep reports whether the connection can be
-// reused.
-func (a *Attempt) readResponse(ctx context.Context, c *conn) (result Result, keep bool, err error) {
+// receives a broken one; a longer response is forwarded as it arrives. stallTimeout limits each wait for further bytes of
+// the response until it is forwarded; 0 means that only the attempt's deadline limits them. keep reports whether the
+// connection can be reused.
+func (a *Attempt) readResponse(ctx context.Context, c *conn, stallTimeout time.Duration) (result Result, keep bool, err error) {
 	if _, err := c.reader.Peek(1); err != nil {
 		return Result{}, false, fmt.Errorf("%w: %w", errNoResponse, err)
 	}
-	c.limitReads(responseStallTimeout, a.Deadline)
+	c.limitReads(stallTimeout, a.Deadline)
 	// The body is never closed, because Close would read the rest of it. Closing the connection drops unread bytes.
 	response, err := a.readFinalHead(c)
 	if err != nil {
@@ -80,7 +83,7 @@
 	if a.Observer != nil && !a.Observer.MayForward() {
 		return time.Time{}
 	}
-	return time.Now().Add(responseStallTimeout)
+	return time.Now().Add(forwardAfter)
 }
 
 // readFinalHead skips informational (1xx) responses and returns the final response, with its body unread.
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -64,7 +64,7 @@
 	if !responded || ctx.Err() != nil {
 		return Result{Status: balancer.ConnectFailed}
 	}
-	result, _, err := a.readResponse(ctx, w.conn)
+	result, _, err := a.readResponse(ctx, w.conn, ResponseStallTimeout)
 	if err != nil || result.Status == balancer.OK { // an endpoint cannot have served an incomplete request
 		return Result{Status: balancer.ConnectFailed}
 	}
