Keep the deadline of a response until it is known to be long

Callers had 800 of 1,000 bytes and an open connection 0.55 s after a request's time, if its backend stopped in the middle. Cause: any response that was not complete after 500 ms was forwarded, and from then on had no deadline. Change: a response that announces at most 64 KiB is buffered until it is complete or fails at its deadline. One of unknown length is still forwarded after 500 ms, but until it exceeds 64 KiB it ends by the request's deadline, or after 500 ms of silence behind it. TestProxyEndsResponseThatStops fails in both rows without the change (end after 5.6 s, time 1.5 s) and passes with it.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -33,6 +33,11 @@
 // MayForward implements upstream.Observer.
 func (a *attempt) MayForward() bool { return a.loop.mayStream(a.completedAt) }
 
+// RequestDeadline implements upstream.Observer.
+func (a *attempt) RequestDeadline() time.Time {
+	return a.loop.clock.Time(a.completedAt).Add(a.request.Timeout)
+}
+
 // ResponseStarted implements upstream.Observer.
 func (a *attempt) ResponseStarted(response *message.ResponseStream) {
 	a.loop.post(responseStarted{a, response})
--- a/internal/proxy/forwarding_test.go
+++ b/internal/proxy/forwarding_test.go
@@ -163,3 +163,40 @@
 		})
 	}
 }
+
+// Guards against a client that gets neither the rest of a response nor its end, because the backend stops in the middle of it
+// and keeps the connection open. A short response is never passed on in part.
+func TestProxyEndsResponseThatStops(t *testing.T) {
+	const timeoutMs = 1500
+	const pause = 600 * time.Millisecond // longer than a response is buffered in any case
+	p, _ := startProxyAndBackend(t, func(w io.Writer, r *http.Request, _ int) bool {
+		framing := "Content-Length: 18"
+		if r.URL.Query().Has("chunks") {
+			framing = "Transfer-Encoding: chunked"
+		}
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n"+framing+"\r\n\r\n")
+		for range 2 {
+			_, _ = io.WriteString(w, "1\r\na\r\n") // a chunk, or a third of the body
+			time.Sleep(pause)
+		}
+		return true
+	})
+	for name, query := range map[string]string{"with a length": "?length", "in chunks": "?chunks"} {
+		t.Run(name, func(t *testing.T) {
+			c := connect(t, p)
+			begin := time.Now()
+			c.send(t, strings.Replace(strings.Replace(shortPost(name[:2]), "/k", "/k"+query, 1), "4000", fmt.Sprint(timeoutMs), 1))
+			resp, err := http.ReadResponse(c.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = io.ReadAll(resp.Body)
+			if resp.StatusCode == 200 && (err == nil || query == "?length") {
+				t.Errorf("got %s as a complete response, or a part of a short one, %v", resp.Status, err)
+			}
+			if took := time.Since(begin); took > message.StreamStallTimeout {
+				t.Errorf("the response ended after %v, its time was %d ms", took, timeoutMs)
+			}
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -23,9 +23,15 @@
 	idleTime   time.Duration // how long it was idle before its current use; 0 if it is new
 	written    bool          // set right before the first byte of its current use is written
 
-	stallTimeout time.Duration // time limit of each read; 0 for none
-	readDeadline time.Time     // overall limit of all reads; zero for none
-	aborted      atomic.Bool   // set by abort; all reads and writes fail
+	limits  readLimits
+	aborted atomic.Bool // set by abort; all reads and writes fail
+}
+
+// readLimits limit the reads of a connection. The zero value leaves the connection's read deadline as it is.
+type readLimits struct {
+	stallTimeout     time.Duration // of each read; 0 for none
+	deadline         time.Time     // of all reads; zero for none
+	lateStallTimeout time.Duration // a read may last for so long even if that is after the deadline
 }
 
 func newConn(nc net.Conn, target Target) *conn {
@@ -40,16 +46,13 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
-// limitReads sets a time limit for each read and a common deadline for all reads. Zero means no limit. If both are zero, Read
-// leaves the read deadline of the connection as it is.
-func (c *conn) limitReads(stallTimeout time.Duration, deadline time.Time) {
-	c.stallTimeout, c.readDeadline = stallTimeout, deadline
-}
+// limitReads sets the limits of all further reads.
+func (c *conn) limitReads(limits readLimits) { c.limits = limits }
 
 // Read implements io.Reader and applies the limits that limitReads has set.
 func (c *conn) Read(b []byte) (int, error) {
-	if deadline := c.nextReadDeadline(); !deadline.IsZero() {
-		_ = c.SetReadDeadline(deadline)
+	if end := c.limits.readEnd(time.Now()); !end.IsZero() {
+		_ = c.SetReadDeadline(end)
 		if c.aborted.Load() { // abort may have been called before SetReadDeadline replaced its deadline
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -61,22 +64,24 @@
 	return n, err
 }
 
-// nextReadDeadline returns when a read that begins now fails, or zero if there is no limit.
-func (c *conn) nextReadDeadline() time.Time {
-	if c.stallTimeout == 0 {
-		return c.readDeadline
+// readEnd returns when a read that begins at a time fails, or zero if there is no limit.
+func (l readLimits) readEnd(begin time.Time) time.Time {
+	end := l.deadline
+	if late := begin.Add(l.lateStallTimeout); l.lateStallTimeout > 0 && end.Before(late) {
+		end = late
 	}
-	stalled := time.Now().Add(c.stallTimeout)
-	if !c.readDeadline.IsZero() && c.readDeadline.Before(stalled) {
-		return c.readDeadline
+	if stalled := begin.Add(l.stallTimeout); l.stallTimeout > 0 && (end.IsZero() || stalled.Before(end)) {
+		end = stalled
 	}
-	return stalled
+	return end
 }
 
-// onlyStalled reports whether a read that failed at its deadline has exceeded the stall timeout alone. Bytes that arrived
+// onlyStalled reports whether a read that failed at its deadline has exceeded a stall timeout alone. Bytes that arrived
 // within that timeout are still good if this process was too late to read them.
 func (c *conn) onlyStalled() bool {
-	return c.stallTimeout > 0 && !c.aborted.Load() && (c.readDeadline.IsZero() || time.Now().Before(c.readDeadline))
+	l := c.limits
+	stalls := l.stallTimeout > 0 && (l.deadline.IsZero() || time.Now().Before(l.deadline)) || l.lateStallTimeout > 0
+	return stalls && !c.aborted.Load()
 }
 
 // SyscallConn implements syscall.Conn, so that package socket can inspect the connection.
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -37,7 +37,7 @@
 				t.Fatal(err)
 			}
 			own := newConn(inner, Target{})
-			own.limitReads(time.Nanosecond, c.deadline)
+			own.limitReads(readLimits{stallTimeout: time.Nanosecond, deadline: c.deadline})
 			if c.abort {
 				own.abort()
 			}
--- a/internal/upstream/forward_test.go
+++ b/internal/upstream/forward_test.go
@@ -24,6 +24,8 @@
 
 func (o responseObserver) MayForward() bool { return true }
 
+func (o responseObserver) RequestDeadline() time.Time { return time.Now().Add(testTimeout) }
+
 func (o responseObserver) ResponseStarted(response *message.ResponseStream) { o <- response }
 
 // startLongResponse starts an attempt whose response is too long to be buffered, and waits until forwarding of the
@@ -123,6 +125,69 @@
 	}
 }
 
+// deadlineObserver is a responseObserver with a deadline of the request.
+type deadlineObserver struct {
+	responseObserver
+	deadline time.Time
+}
+
+func (o deadlineObserver) RequestDeadline() time.Time { return o.deadline }
+
+// Guards against a forwarded response that never ends: one that may be short has to end by the request's deadline, unless its
+// endpoint still sends. One that is longer may pause after the deadline.
+func TestForwardedResponseHasDeadlineWhileShort(t *testing.T) {
+	const soon = lateStallTimeout / 10
+	for name, c := range map[string]struct {
+		atOnce   int           // bytes that are sent right after the head
+		pause    time.Duration // before each further piece; the deadline is lateStallTimeout after the head
+		later    int           // further pieces, of one byte each
+		complete bool
+	}{
+		"short, stops":   {atOnce: 1, pause: 3 * lateStallTimeout, later: 1},
+		"64 KiB, stops":  {atOnce: message.MaxBuffered - 1, pause: 3 * lateStallTimeout, later: 1},
+		"still sending":  {atOnce: 1, pause: soon, later: 12, complete: true},
+		"long, pauses":   {atOnce: message.MaxBuffered + 1, pause: 3 * lateStallTimeout, later: 1, complete: true},
+		"ends before it": {atOnce: 1, pause: soon, later: 1, complete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newTestPool(4, backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", c.atOnce, strings.Repeat("x", c.atOnce))
+				for range c.later {
+					time.Sleep(c.pause)
+					_, _ = io.WriteString(w, "1\r\nx\r\n")
+				}
+				_, _ = io.WriteString(w, "0\r\n\r\n")
+				return true
+			}).Address)
+			a := newTestAttempt(t, p, "a", testTimeout)
+			a.Request.Reservation = exhaustedReservation(t) // forwards at once
+			observer := deadlineObserver{make(responseObserver, 1), time.Now().Add(lateStallTimeout)}
+			a.Observer = observer
+			results := make(chan Result, 1)
+			go func() { results <- a.run() }()
+			response := backendtest.Receive(t, "response", observer.responseObserver)
+			rest, err := io.ReadAll(response.Body)
+			response.Done <- err
+			if (err == nil) != c.complete {
+				t.Errorf("got %d bytes, %v, want complete %v", len(response.Prefix)+len(rest), err, c.complete)
+			}
+			backendtest.Receive(t, "result", results)
+		})
+	}
+}
+
+// exhaustedReservation returns a reservation of a budget that is in use.
+func exhaustedReservation(t *testing.T) *message.Reservation {
+	t.Helper()
+	budget := message.NewBodyBudget()
+	budget.SetLimit(0)
+	if !budget.Reserve().Grow(budget.Limit()) {
+		t.Fatal("the budget is in use already")
+	}
+	return budget.Reserve()
+}
+
 func TestCancelledAttemptStopsForwarding(t *testing.T) {
 	p := newTestPool(4, backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("x", 100_000))
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -63,6 +63,8 @@
 
 func (o uploadObserver) MayForward() bool { return true }
 
+func (o uploadObserver) RequestDeadline() time.Time { panic("a forwarded response was not expected") }
+
 func (o uploadObserver) ResponseStarted(*message.ResponseStream) {
 	panic("a forwarded response was not expected")
 }
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -63,7 +63,7 @@
 		c.idleSince = time.Now()
 	}
 	c.written = false
-	c.limitReads(0, time.Time{})
+	c.limitReads(readLimits{})
 	e.idle = append(e.idle, c)
 }
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -20,7 +20,8 @@
 	maxResponseHead  = 8 << 10 // bytes
 	maxInformational = 8       // 1xx responses before the final one
 
-	// forwardAfter is how long a response is buffered. If it is not complete by then, it is forwarded as it arrives.
+	// forwardAfter is how long a response of unknown length is buffered. If it is not complete by then, it is forwarded as it
+	// arrives.
 	forwardAfter = 500 * time.Millisecond
 )
 
@@ -45,7 +46,7 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return Result{}, false, fmt.Errorf("%w: %w", errNoResponse, err)
 	}
-	c.limitReads(stallTimeout, a.Deadline)
+	c.limitReads(readLimits{stallTimeout: stallTimeout, deadline: a.Deadline})
 	// The body is never closed, because Close would read the rest of it. Closing the connection drops unread bytes.
 	response, err := a.readFinalHead(c)
 	if err != nil {
@@ -59,7 +60,7 @@
 		return Result{Status: balancer.Error}, false, nil
 	}
 	body, complete, err := message.ReadBuffered(response.Body, response.ContentLength, a.Request.Reservation,
-		a.bufferUntil())
+		a.bufferUntil(response))
 	if err != nil {
 		return Result{}, false, fmt.Errorf("read response body: %w", err)
 	}
@@ -78,9 +79,10 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// bufferUntil returns when a response that has not arrived completely is forwarded as it arrives, or zero for never.
-func (a *Attempt) bufferUntil() time.Time {
-	if a.Observer != nil && !a.Observer.MayForward() {
+// bufferUntil returns when a response that has not arrived completely is forwarded as it arrives, or zero for never. A
+// response that is known to be short is due as a whole.
+func (a *Attempt) bufferUntil(response *http.Response) time.Time {
+	if response.ContentLength >= 0 || a.Observer != nil && !a.Observer.MayForward() {
 		return time.Time{}
 	}
 	return time.Now().Add(forwardAfter)
@@ -155,25 +157,3 @@
 	}
 	return Result{Status: balancer.Error} // the request may have run
 }
-
-// forward passes a response to the observer, which forwards it as it arrives. The attempt's deadline applied only until
-// this point; from here on each read is limited only by message.StreamStallTimeout.
-func (a *Attempt) forward(ctx context.Context, c *conn, response *http.Response, prefix []byte) (result Result, keep bool) {
-	c.limitReads(message.StreamStallTimeout, time.Time{})
-	stream := &message.ResponseStream{
-		Prefix:      prefix,
-		Body:        response.Body,
-		Length:      response.ContentLength,
-		ContentType: response.Header.Get(contentTypeHeader),
-		Abort:       c.abort,
-		Done:        make(chan error, 1),
-	}
-	a.Observer.ResponseStarted(stream)
-	var err error
-	select {
-	case err = <-stream.Done:
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	return Result{Status: balancer.OK}, err == nil && !response.Close && c.reader.Buffered() == 0
-}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -46,6 +46,10 @@
 	// complete, however slowly it arrives.
 	MayForward() bool
 
+	// RequestDeadline returns the deadline of the request, which may be later than that of the attempt. It is called after
+	// UploadFinished.
+	RequestDeadline() time.Time
+
 	// ResponseStarted hands over a response that is forwarded as it arrives. The attempt lasts until a value is sent on
 	// the response's Done channel or the attempt's context ends.
 	ResponseStarted(*message.ResponseStream)
