Give a streamed response no deadline once it has started

Classes with profiles[].stream have responses without a deadline from their start on, which the proxy did not read. Change: settings read the flag into Class.StreamedResponse, and an attempt with it forwards after 500 ms without a deadline.

--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -31,6 +31,7 @@
 	DedupScope       DedupScope   // used with IdempotentWithKey
 	DedupWindow      Microseconds // with IdempotentWithKey: how long repeats are dropped after the first send
 	OrderedByKey     bool         // requests with the same key run one at a time, in order of arrival
+	StreamedResponse bool         // a response that has started has no deadline
 }
 
 // Tenant describes one origin of requests.
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -36,12 +36,13 @@
 // Request is a client's request. The server sets its fields before Submit; from then on the dispatcher owns them.
 type Request struct {
 	balancer.Request
-	Forwarded   *upstream.Request     // the request as it is sent to endpoints
-	ClassName   string                // name of the class that Class is the index of
-	Idempotency balancer.Idempotency  // of the class when the request was parsed
-	TenantName  string                // as sent by the client; Tenant is its index
-	CompletedAt balancer.Microseconds // when its last byte arrived, or if Forwarded.Stream is set, when it was submitted
-	Timeout     time.Duration         // from CompletedAt until Deadline
+	Forwarded        *upstream.Request     // the request as it is sent to endpoints
+	ClassName        string                // name of the class that Class is the index of
+	Idempotency      balancer.Idempotency  // of the class when the request was parsed
+	StreamedResponse bool                  // of the class when the request was parsed
+	TenantName       string                // as sent by the client; Tenant is its index
+	CompletedAt      balancer.Microseconds // when its last byte arrived, or if Forwarded.Stream is set, when it was submitted
+	Timeout          time.Duration         // from CompletedAt until Deadline
 
 	response chan Response // has room for the one response
 }
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -119,6 +119,7 @@
 	}
 	request := NewRequest()
 	request.ClassName, request.Idempotency, request.Timeout = className, class.Idempotency, timeout
+	request.StreamedResponse = class.StreamedResponse
 	request.TenantName = r.Header.Get(tenantHeader)
 	request.Request = balancer.Request{
 		ID:     id,
--- a/internal/proxy/forwarding_test.go
+++ b/internal/proxy/forwarding_test.go
@@ -164,6 +164,31 @@
 	}
 }
 
+// Guards against a streamed response that is cut off, or held back, because it is not complete by the request's deadline.
+func TestStreamedResponseHasNoDeadline(t *testing.T) {
+	const timeoutMs, pieces, pause = 1000, 3, 800 * time.Millisecond
+	for name, framing := range map[string]string{"with a length": "Content-Length: 18", "in chunks": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := backendtest.Start(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n"+framing+"\r\n\r\n")
+				for range pieces {
+					_, _ = io.WriteString(w, "1\r\na\r\n") // a chunk, or a third of the body
+					time.Sleep(pause)
+				}
+				_, _ = io.WriteString(w, "0\r\n\r\n")
+				return false
+			})
+			p := startAdjustedProxy(t, func(*Proxy) {}, servingList(b), `"name":"post"`, `"name":"post","stream":true`)
+			c := connect(t, p)
+			c.send(t, strings.Replace(shortPost("1"), "4000", fmt.Sprint(timeoutMs), 1))
+			if resp, body := c.readResponse(t); resp.StatusCode != 200 || strings.Count(body, "a") != pieces {
+				t.Errorf("got %s %q, want 200 with %d pieces", resp.Status, body, pieces)
+			}
+		})
+	}
+}
+
 // Guards against a client that gets neither the rest of a response nor its end, because the backend stops in the middle of it
 // and keeps the connection open. A short response is never passed on in part.
 func TestProxyEndsResponseThatStops(t *testing.T) {
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -44,7 +44,12 @@
 		responseTimeout: (deadline - now).Duration(),
 		completedAt:     r.CompletedAt,
 	}
-	a.Attempt = &upstream.Attempt{Request: r.Forwarded, Deadline: l.clock.Time(deadline), Observer: a}
+	a.Attempt = &upstream.Attempt{
+		Request:          r.Forwarded,
+		Deadline:         l.clock.Time(deadline),
+		StreamedResponse: r.StreamedResponse,
+		Observer:         a,
+	}
 	if r.Idempotency != balancer.NotIdempotent {
 		a.StallTimeout = upstream.ResponseStallTimeout
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,7 +33,7 @@
 		`"contract":{`, `"contract":{"busy_is_no_proof":true,"order_settle_us":7,"ratio_span_us":5000000,`+
 			`"resend_ratio":0.05,"spare_attempts":3,"tip_multiple":2.5,`,
 		`"dedup_scope":"cell"`, `"by_arrival":true,"dedup_scope":"cell"`,
-		`"late_share":0.0`, `"late_share":0.25`,
+		`"late_share":0.0`, `"stream":true,"late_share":0.25`,
 		`"ordinal":0`, `"ordinal":2,"counted_by":"work"`,
 		`"stage":0`, `"stage":1`)
 	want := &Site{
@@ -41,7 +41,7 @@
 			Tier: 1, Replicas: 3, ReplicaIndex: 2, Zone: 1, Zones: 2,
 			Classes: []balancer.Class{{Name: "put", LatencyObjective: 500_000, Deadline: 1_200_000, PriorityWeight: 1,
 				LateFraction: 0.25, Idempotency: balancer.IdempotentWithKey, DedupScope: balancer.DedupCell,
-				DedupWindow: 2_000_000, OrderedByKey: true}},
+				DedupWindow: 2_000_000, OrderedByKey: true, StreamedResponse: true}},
 			Tenants:       []balancer.Tenant{{Name: "acme", QuotaFraction: 1, RateQuota: 4}},
 			CapacityHints: true, MaxAttempts: 5, OrderedKeyCooldown: 7, RejectedMayRun: true,
 			RetryBudgetWindow: 5_000_000, RetryBudgetMin: 3, RetryBudgetRatio: 0.05,
--- a/internal/settings/wire.go
+++ b/internal/settings/wire.go
@@ -66,6 +66,7 @@
 	DedupScope       string                `json:"dedup_scope"`
 	DedupWindow      balancer.Microseconds `json:"dedup_window_us"`
 	OrderedByKey     bool                  `json:"by_arrival"`
+	StreamedResponse bool                  `json:"stream"`
 }
 
 // wireTenant is a tenant with its quotas.
@@ -170,6 +171,7 @@
 		DedupScope:       scope,
 		DedupWindow:      w.DedupWindow,
 		OrderedByKey:     w.OrderedByKey,
+		StreamedResponse: w.StreamedResponse,
 	}, nil
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -22,6 +22,9 @@
 	// early. It has to be 0 if the request cannot be sent again: then only Deadline limits the response.
 	StallTimeout time.Duration
 
+	// StreamedResponse means that a response that has started has no deadline, also if it is short.
+	StreamedResponse bool
+
 	Observer Observer // required for streamed requests and for responses that may exceed the buffer
 
 	earlyResponse atomic.Bool // the endpoint sent bytes before the streamed request was completely written
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -16,11 +16,7 @@
 
 // forward passes a response to the observer, which forwards it as it arrives.
 func (a *Attempt) forward(ctx context.Context, c *conn, response *http.Response, prefix []byte) (result Result, keep bool) {
-	if response.ContentLength > message.MaxBuffered {
-		c.limitReads(longResponseLimits)
-	} else {
-		c.limitReads(shortResponseLimits(response.ContentLength, a.Observer.RequestDeadline()))
-	}
+	c.limitReads(a.forwardLimits(response))
 	stream := &message.ResponseStream{
 		Prefix:      prefix,
 		Body:        &forwardedBody{Reader: response.Body, conn: c, received: len(prefix)},
@@ -39,8 +35,16 @@
 	return Result{Status: balancer.OK}, err == nil && !response.Close && c.reader.Buffered() == 0
 }
 
-// longResponseLimits are the limits of a response that is longer than message.MaxBuffered: only its first bytes were due by
-// the deadline.
+// forwardLimits returns the limits of a response when its forwarding starts.
+func (a *Attempt) forwardLimits(response *http.Response) readLimits {
+	if a.StreamedResponse || response.ContentLength > message.MaxBuffered {
+		return longResponseLimits
+	}
+	return shortResponseLimits(response.ContentLength, a.Observer.RequestDeadline())
+}
+
+// longResponseLimits are the limits of a streamed response, and of one that is longer than message.MaxBuffered: only its first
+// bytes were due by the deadline.
 var longResponseLimits = readLimits{stallTimeout: message.StreamStallTimeout}
 
 // shortResponseLimits returns the limits of a forwarded response that is not known to be long. length is its announced
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -80,9 +80,10 @@
 }
 
 // bufferUntil returns when a response that has not arrived completely is forwarded as it arrives, or zero for never. A
-// response that is known to be short is due as a whole.
+// response that is known to be short is due as a whole, unless it is streamed.
 func (a *Attempt) bufferUntil(response *http.Response) time.Time {
-	if response.ContentLength >= 0 || a.Observer != nil && !a.Observer.MayForward() {
+	isDueAsWhole := response.ContentLength >= 0 && !a.StreamedResponse
+	if isDueAsWhole || a.Observer != nil && !a.Observer.MayForward() {
 		return time.Time{}
 	}
 	return time.Now().Add(forwardAfter)
