--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -118,7 +118,9 @@
 // during message.DiscardTimeout: a close with unread bytes would reset the connection, and the client could lose the
 // response. The buffer is used for that. The error that rejectHead returns makes net/http close the connection.
 func (c *Conn) rejectHead(buffer []byte) error {
-	_ = c.Conn.SetDeadline(time.Now().Add(message.DiscardTimeout))
+	now := time.Now()
+	c.listener.rejections.add(now)
+	_ = c.Conn.SetDeadline(now.Add(message.DiscardTimeout))
 	_, err := io.WriteString(c.Conn, noMemoryResponse)
 	if err == nil {
 		err = c.CloseWrite()
--- a/internal/clientconn/listener.go
+++ b/internal/clientconn/listener.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -28,6 +29,8 @@
 	// allow is answered with 503. Nil means no limit.
 	HeadBudget *message.Budget
 
+	Log *slog.Logger // of rejected heads; nil for none
+
 	// WaitForCapacity makes a new connection wait while none can be evicted, instead of being closed at once.
 	WaitForCapacity bool
 }
@@ -43,6 +46,7 @@
 	net.Listener
 	requestGrace    time.Duration
 	headBudget      *message.Budget
+	rejections      rejectionLog
 	waitForCapacity bool
 	capacity        chan struct{} // holds a value when there may be capacity for a waiting connection
 	closed          chan struct{} // closed with the listener
@@ -69,6 +73,7 @@
 		Listener:        inner,
 		requestGrace:    options.RequestGrace,
 		headBudget:      options.HeadBudget,
+		rejections:      rejectionLog{log: options.Log},
 		waitForCapacity: options.WaitForCapacity,
 		capacity:        make(chan struct{}, 1),
 		closed:          make(chan struct{}),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,7 @@
 		MaxConnections: clients,
 		RequestGrace:   clientconn.RequestGrace,
 		HeadBudget:     heads,
+		Log:            p.log,
 	})
 	p.limits = &resourceLimits{
 		clients: p.clients,
