--- a/internal/clientconn/conn_test.go
+++ b/internal/clientconn/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,7 +29,47 @@
 	if n, err := pair.server.Read(b); err != nil || string(b[:n]) != "abc" {
 		t.Errorf("got %q, %v", b[:n], err)
 	}
-	if !pair.server.(*Conn).RequestStarted() {
+	if !pair.server.(*Conn).head.started() {
 		t.Error("the bytes were not recorded")
 	}
 }
+
+// Guards against a head that net/http has in its buffer before it could be recorded, because it arrived together with the
+// request before it.
+func TestReadStopsAtEndOfHead(t *testing.T) {
+	const head, body = "POST / HTTP/1.1\r\nHost: h\r\n\r\n", 6000 // bytes of the body
+	pair := connect(t, listen(t, Options{MaxConnections: 1}))
+	if _, err := pair.client.Write([]byte(head + strings.Repeat("x", body))); err != nil {
+		t.Fatal(err)
+	}
+	server := pair.server.(*Conn)
+	read := func(size int) string {
+		t.Helper()
+		b := make([]byte, size)
+		n, err := server.Read(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b[:n])
+	}
+	if got := read(httpBufferSize); got != head {
+		t.Errorf("first got %q, want the head alone", got)
+	}
+	if server.isQuiet() {
+		t.Error("with a part of the body kept, the connection counts as quiet")
+	}
+	received := 0
+	for received < 2*maxBodyPiece {
+		got := read(httpBufferSize)
+		if len(got) > maxBodyPiece {
+			t.Fatalf("got %d bytes for net/http's buffer, want at most %d", len(got), maxBodyPiece)
+		}
+		received += len(got)
+	}
+	for received < body {
+		received += len(read(2 * httpBufferSize))
+	}
+	if received != body || !server.isQuiet() {
+		t.Errorf("got %d bytes of the body, want %d and then nothing", received, body)
+	}
+}
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -10,9 +10,9 @@
 	"baylock/internal/message"
 )
 
-// lateStallTimeout limits each wait for further bytes of a response of unknown length after the request's deadline. The end
-// of the response may be that late without being lost.
-const lateStallTimeout = 500 * time.Millisecond
+// lateStallTimeout limits each wait for further bytes of a response of unknown length after the request's deadline. It is
+// longer than a healthy backend pauses, and the end of the response may be that late.
+const lateStallTimeout = 530 * time.Millisecond
 
 // forward passes a response to the observer, which forwards it as it arrives.
 func (a *Attempt) forward(ctx context.Context, c *conn, response *http.Response, prefix []byte) (result Result, keep bool) {
