--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -46,6 +46,9 @@
 // ServedRequest reports whether a request has been answered on the connection.
 func (c *Conn) ServedRequest() bool { return c.servedRequest.Load() }
 
+// RequestStarted reports whether any bytes of the next request have arrived.
+func (c *Conn) RequestStarted() bool { return c.head.started() }
+
 // HasValidFraming reports whether the head of the current request, which begins with a request line, is complete and defines
 // the end of the body in only one way. It is false if the start of the head was not recorded.
 func (c *Conn) HasValidFraming(requestLine string) bool { return c.head.hasValidFraming(requestLine) }
--- a/internal/clientconn/conn_test.go
+++ b/internal/clientconn/conn_test.go
@@ -29,7 +29,7 @@
 	if n, err := pair.server.Read(b); err != nil || string(b[:n]) != "abc" {
 		t.Errorf("got %q, %v", b[:n], err)
 	}
-	if !pair.server.(*Conn).head.started() {
+	if !pair.server.(*Conn).RequestStarted() {
 		t.Error("the bytes were not recorded")
 	}
 }
