--- a/internal/backendtest/backendtest.go
+++ b/internal/backendtest/backendtest.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -135,6 +136,15 @@
 	}
 }
 
+// AppendNumbered appends a format with the numbers 0, 1, 2 and so on to start, until the text has at least size bytes.
+func AppendNumbered(start, format string, size int) string {
+	text := []byte(start)
+	for i := 0; len(text) < size; i++ {
+		text = fmt.Appendf(text, format, i)
+	}
+	return string(text)
+}
+
 // LiveMemory returns the bytes of the heap and the stacks that are in use after a garbage collection.
 func LiveMemory() int64 {
 	runtime.GC()
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -10,7 +10,10 @@
 // MaxHead is the maximum size of a request's head in bytes.
 const MaxHead = 16 << 10
 
-var headEnd = []byte("\r\n\r\n")
+var (
+	lineEnd = []byte("\r\n")
+	headEnd = []byte("\r\n\r\n")
+)
 
 // requestHead records the head of a connection's next request as it arrives. The http.Request that net/http makes of
 // the head no longer shows whether it contained both Content-Length and Transfer-Encoding. A body that is framed in
@@ -19,15 +22,14 @@
 	mu         sync.Mutex // guards the fields below
 	incomplete []byte     // the bytes of the head so far, until it is complete
 	complete   bool
-	valid      bool   // the head is complete, and defines the end of the body in only one way
-	line       []byte // first line of the complete head, without its end
+	validLine  string // first line of a complete head that defines the end of the body in only one way; else empty
 }
 
 // reset prepares for the next request's head.
 func (h *requestHead) reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.incomplete, h.complete, h.valid, h.line = nil, false, false, nil
+	h.incomplete, h.complete, h.validLine = nil, false, ""
 }
 
 // record adds bytes that have arrived. It returns how many of them belong to the head or precede it: none if the head was
@@ -50,9 +52,11 @@
 		b = h.incomplete
 	}
 	if end := bytes.Index(b, headEnd); end >= 0 {
-		h.incomplete, h.complete, h.valid = nil, true, !message.HasConflictingFraming(b[:end])
-		line, _, _ := bytes.Cut(b[:end], []byte("\r\n"))
-		h.line = bytes.Clone(line)
+		h.incomplete, h.complete = nil, true
+		if !message.HasConflictingFraming(b[:end]) {
+			line, _, _ := bytes.Cut(b[:end], lineEnd)
+			h.validLine = string(line)
+		}
 		return len(arrived) - (len(b) - end - len(headEnd))
 	}
 	if len(b) > 2*MaxHead { // net/http has rejected it
@@ -76,5 +80,5 @@
 func (h *requestHead) hasValidFraming(requestLine string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.valid && string(h.line) == requestLine
+	return h.validLine == requestLine
 }
--- a/internal/clientconn/head_memory.go
+++ b/internal/clientconn/head_memory.go
@@ -48,8 +48,11 @@
 func (m *headMemory) requestDone() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	hasReserved := m.excessLocked() > 0
 	m.open = 0
-	m.reservation.Resize(m.excessLocked())
+	if hasReserved { // else the budget, which all connections share, need not be locked
+		m.reservation.Resize(m.excessLocked())
+	}
 }
 
 // release frees all memory. Nothing can be reserved after it.
--- a/internal/clientconn/head_memory_test.go
+++ b/internal/clientconn/head_memory_test.go
@@ -53,17 +53,13 @@
 // Guards against an estimate that is smaller than the memory that a parsed head takes.
 func TestHeadMemoryCoversParsedHead(t *testing.T) {
 	const heads = 50
-	list := func(n int, format string) string {
-		var b strings.Builder
-		for i := range n {
-			fmt.Fprintf(&b, format, i)
-		}
-		return b.String()
+	numbered := func(n int, format string) string {
+		return backendtest.AppendNumbered("", format, n*len(fmt.Sprintf(format, 0)))
 	}
 	for name, fields := range map[string]string{
-		"short":    list(3800, "%03x:\r\n"),
-		"growing":  list(1800, "%03x:\r\n"), // right after the map has grown
-		"ordinary": list(330, "Field-Of-Usual-Length-%03x: some value of 16\r\n"),
+		"short":    numbered(3800, "%03x:\r\n"),
+		"growing":  numbered(1800, "%03x:\r\n"), // right after the map has grown
+		"ordinary": numbered(330, "Field-Of-Usual-Length-%03x: some value of 16\r\n"),
 		"one":      "Long: " + strings.Repeat("x", MaxHead) + "\r\n",
 		"repeated": strings.Repeat("A: b\r\n", 3000),
 	} {
--- a/internal/downstream/parse.go
+++ b/internal/downstream/parse.go
@@ -80,8 +80,7 @@
 	if !r.ProtoAtLeast(1, 1) { // net/http drops the Transfer-Encoding of older versions
 		return &requestError{status: http.StatusHTTPVersionNotSupported, reason: "HTTP/1.1 is required"}
 	}
-	requestLine := r.Method + " " + r.RequestURI + " " + r.Proto
-	if len(r.TransferEncoding) > 0 && (connection == nil || !connection.HasValidFraming(requestLine)) {
+	if len(r.TransferEncoding) > 0 && (connection == nil || !connection.HasValidFraming(requestLine(r))) {
 		return badRequest("Content-Length and Transfer-Encoding conflict")
 	}
 	for _, name := range singleValueHeaders {
@@ -92,6 +91,9 @@
 	return nil
 }
 
+// requestLine returns the first line of a request, as it was received.
+func requestLine(r *http.Request) string { return r.Method + " " + r.RequestURI + " " + r.Proto }
+
 // parseHead validates a request's head against the settings. It leaves unset the fields that depend on the body.
 func parseHead(r *http.Request, settings Settings) (*Request, error) {
 	className := r.Header.Get(classHeader)
--- a/internal/proxy/head_memory_test.go
+++ b/internal/proxy/head_memory_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"strings"
@@ -13,34 +12,11 @@
 
 const headPeers = 500 // peers that send a head; of 1,024 descriptors, clients get 538
 
-// shortFields returns the start of a request that is not idempotent, with so many short fields that it is size bytes long.
-func shortFields(size int) string {
-	b := bytes.NewBufferString("POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Class: post\r\nRequest-Timeout-Ms: 4000\r\n")
-	for i := 0; b.Len() < size; i++ {
-		fmt.Fprintf(b, "%03x:\r\n", i)
-	}
-	return b.String()
-}
+// postStart is the start of a head, of a request that is not idempotent.
+const postStart = "POST /post/k HTTP/1.1\r\nHost: h\r\nRequest-Class: post\r\nRequest-Timeout-Ms: 4000\r\n"
 
-// ordinaryFields is like shortFields, with fields of 45 bytes.
-func ordinaryFields(size int) string {
-	start := shortFields(0)
-	field := func(i int) string { return fmt.Sprintf("Field-Of-Usual-Length-%03x: %s\r\n", i, "some value of 16") }
-	b := bytes.NewBufferString(start)
-	for i := 0; b.Len() < size; i++ {
-		b.WriteString(field(i))
-	}
-	return b.String()
-}
-
-// distinctNames returns a list of different field names that is size bytes long.
-func distinctNames(size int) string {
-	var b strings.Builder
-	for i := 0; b.Len() < size; i++ {
-		fmt.Fprintf(&b, "%03x,", i)
-	}
-	return b.String()
-}
+// shortFields returns the start of a head with so many short fields that it is size bytes long.
+func shortFields(size int) string { return backendtest.AppendNumbered(postStart, "%03x:\r\n", size) }
 
 // Guards against a proxy that is killed for its memory because many peers send heads with many fields and then nothing more.
 // The limits are the smallest memory and the most descriptors that a deployment may have.
@@ -49,13 +25,13 @@
 	const bodyMissing = "Request-Id: 1\r\nContent-Length: 10\r\n\r\n"
 	for name, text := range map[string]string{
 		"many short fields":       shortFields(19<<10) + bodyMissing,
-		"many ordinary fields":    ordinaryFields(15<<10) + bodyMissing,
-		"one long field":          shortFields(0) + "Long: " + strings.Repeat("x", 15<<10) + "\r\n" + bodyMissing,
-		"long target":             strings.Replace(shortFields(0), "/k", "/"+strings.Repeat("%41", 5<<10), 1) + bodyMissing,
+		"many ordinary fields":    backendtest.AppendNumbered(postStart, "Field-Of-Usual-Length-%03x: some value of 16\r\n", 15<<10) + bodyMissing,
+		"one long field":          postStart + "Long: " + strings.Repeat("x", 15<<10) + "\r\n" + bodyMissing,
+		"long target":             strings.Replace(postStart, "/k", "/"+strings.Repeat("%41", 5<<10), 1) + bodyMissing,
 		"head that never ends":    shortFields(19 << 10),
 		"after a health check":    "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n" + shortFields(4000),
 		"after a body":            shortPost("1") + shortFields(3900),
-		"many announced trailers": shortFields(0) + "Transfer-Encoding: chunked\r\nTrailer: " + distinctNames(15<<10) + "\r\nRequest-Id: 1\r\n\r\n",
+		"many announced trailers": postStart + "Transfer-Encoding: chunked\r\nTrailer: " + backendtest.AppendNumbered("", "%03x,", 15<<10) + "\r\nRequest-Id: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			backend := startOKBackend(t)
--- a/internal/upstream/forward_test.go
+++ b/internal/upstream/forward_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -107,11 +106,9 @@
 // as the responses are forwarded.
 func TestForwardedResponsesKeepNoUnusedFields(t *testing.T) {
 	const responses, maxPerResponse = 100, 64 << 10 // bytes
-	head := bytes.NewBufferString("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\nContent-Type: text/x\r\nTrailer: a\r\n")
-	for i := 0; head.Len() < maxResponseHead-100; i++ {
-		fmt.Fprintf(head, "%03x:\r\n", i)
-	}
-	p := newTestPool(responses, backendtest.Start(t, backendtest.Respond(head.String()+"\r\n", true)).Address)
+	head := backendtest.AppendNumbered("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\nContent-Type: text/x\r\nTrailer: a\r\n", "%03x:\r\n",
+		maxResponseHead-100)
+	p := newTestPool(responses, backendtest.Start(t, backendtest.Respond(head+"\r\n", true)).Address)
 	before := backendtest.LiveMemory()
 	for range responses {
 		a, response, results := startLongResponse(t, p)
